--- /dev/null
+++ b/crates/medlarpoint_bench/src/bin/medlarpoint-demo.rs
@@ -0,0 +1,17 @@
+//! Shows the main job within a minute.
+
+use std::process::ExitCode;
+
+use medlarpoint_bench::demo;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match demo::run().await {
+        Ok(promises) if demo::summarize(&promises) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::FAILURE,
+        Err(failure) => {
+            eprintln!("medlarpoint-demo: {failure}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/medlarpoint_bench/src/failure.rs
@@ -0,0 +1,39 @@
+//! Failures of experiments.
+
+/// Why an experiment could not be carried out.
+#[derive(Debug, thiserror::Error)]
+pub enum Failure {
+    /// The system refused something.
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
+    /// Settings are faulty.
+    #[error(transparent)]
+    Settings(#[from] medlarpoint_daemon::InvalidSettings),
+    /// A log could not be set up.
+    #[error(transparent)]
+    Log(#[from] medlarpoint_daemon::SetupError),
+    /// A daemon could not be started.
+    #[error(transparent)]
+    Start(#[from] medlarpoint_daemon::StartError),
+    /// A name is malformed.
+    #[error(transparent)]
+    Name(#[from] medlarpoint_model::InvalidName),
+    /// A request failed.
+    #[error(transparent)]
+    Http(#[from] medlarpoint_standin::HttpError),
+    /// An answer cannot be read.
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+    /// A daemon is down that must be up.
+    #[error("the daemon of {0} is down")]
+    Down(String),
+    /// Something took too long.
+    #[error("waited too long for {0}")]
+    Patience(&'static str),
+    /// An operator's command did not end as it must.
+    #[error("{0} did not succeed")]
+    Command(&'static str),
+    /// A node process misbehaved.
+    #[error("node: {0}")]
+    Node(String),
+}
--- /dev/null
+++ b/crates/medlarpoint_cli/src/bin/medlarpoint.rs
@@ -0,0 +1,11 @@
+//! The operators' program.
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use medlarpoint_cli::{Arguments, run};
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    run(Arguments::parse()).await.into()
+}
--- /dev/null
+++ b/crates/medlarpoint_cli/src/command.rs
@@ -0,0 +1,338 @@
+//! Carries out a command.
+
+use std::io::Read as _;
+use std::path::Path;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use clap::CommandFactory;
+use medlarpoint_api::{Commit, Committed, Drain, Edit, Expect, History, Resources, Status, Why};
+use medlarpoint_model::{Change, CommitId, Document, Format, Key, Kind, Version};
+use serde::Serialize;
+
+use crate::arguments::{Arguments, Command, OutputFormat};
+use crate::client::{Client, RequestError};
+use crate::output::Palette;
+use crate::progress::{Followed, follow};
+use crate::{Exit, diff, output};
+
+/// Times a commit with unknown outcome is sent again with the same identity.
+const RESENDS: u32 = 5;
+/// Pause before a commit is sent again.
+const RESEND_PAUSE: Duration = Duration::from_millis(500);
+/// Longest time `apply --wait` follows the change.
+const APPLY_WAIT: Duration = Duration::from_secs(60);
+
+/// A command that failed.
+#[derive(Debug, thiserror::Error)]
+enum Failure {
+    #[error(transparent)]
+    Request(#[from] RequestError),
+    #[error("cannot read {path}: {reason}")]
+    Read {
+        path: String,
+        reason: std::io::Error,
+    },
+    #[error("the document is faulty:\n{0}")]
+    Document(String),
+    #[error("{0}")]
+    Key(String),
+    #[error(
+        "{0}: whether the change took effect is not known; run the command again with --commit {1}"
+    )]
+    Unknown(String, CommitId),
+    #[error("the answer cannot be shown: {0}")]
+    Output(#[from] serde_json::Error),
+}
+
+impl Failure {
+    fn exit(&self) -> Exit {
+        match self {
+            Self::Request(error) => error.exit(),
+            Self::Read { .. } | Self::Document(_) | Self::Key(_) => Exit::Invalid,
+            Self::Unknown(..) => Exit::Unknown,
+            Self::Output(_) => Exit::Failure,
+        }
+    }
+}
+
+/// Runs a command; answers go to standard output, errors to standard error.
+pub async fn run(arguments: Arguments) -> Exit {
+    let Arguments {
+        api,
+        token,
+        output_format,
+        command,
+    } = arguments;
+    let session = Session {
+        client: Client::new(api, token),
+        format: output_format,
+    };
+    match session.dispatch(command).await {
+        Ok(exit) => exit,
+        Err(failure) => {
+            eprintln!("medlarpoint: {failure}");
+            failure.exit()
+        }
+    }
+}
+
+struct Session {
+    client: Client,
+    format: OutputFormat,
+}
+
+fn now_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis() as u64
+}
+
+fn read_document(path: &Path) -> Result<Document, Failure> {
+    let unreadable = |reason| Failure::Read {
+        path: path.display().to_string(),
+        reason,
+    };
+    let text = if path == Path::new("-") {
+        let mut text = String::new();
+        std::io::stdin()
+            .read_to_string(&mut text)
+            .map_err(unreadable)?;
+        text
+    } else {
+        std::fs::read_to_string(path).map_err(unreadable)?
+    };
+    let json = path
+        .extension()
+        .is_some_and(|extension| extension == "json");
+    let format = if json { Format::Json } else { Format::Toml };
+    Document::parse(&text, format).map_err(|faults| {
+        let lines: Vec<String> = faults.0.iter().map(|fault| format!("  {fault}")).collect();
+        Failure::Document(lines.join("\n"))
+    })
+}
+
+impl Session {
+    async fn dispatch(&self, command: Command) -> Result<Exit, Failure> {
+        match command {
+            Command::Apply {
+                file,
+                author,
+                force,
+                wait,
+                commit,
+            } => self.apply(&file, author, force, wait, commit).await,
+            Command::Get { resource } => self.get(resource).await,
+            Command::Diff { file } => self.diff(&file).await,
+            Command::Delete { resources, author } => self.delete(&resources, author).await,
+            Command::Watch { version, timeout } => {
+                self.watch(version, Duration::from_secs(timeout)).await
+            }
+            Command::Status => {
+                let status: Status = self.client.get("/v1/status").await?;
+                self.show(&status, |s| output::status(s, now_ms(), Palette::detect()))
+            }
+            Command::History { limit } => {
+                let history: History = self
+                    .client
+                    .get(&format!("/v1/history?limit={limit}"))
+                    .await?;
+                self.show(&history, |history| output::history(history, now_ms()))
+            }
+            Command::Why {
+                resource,
+                version,
+                target,
+            } => {
+                let topic = match (resource, version, target) {
+                    (Some(resource), _, _) => format!("resource={}", parse_key(&resource)?),
+                    (_, Some(version), _) => format!("version={version}"),
+                    (_, _, Some(vm)) => format!("target={vm}"),
+                    _ => {
+                        return Err(Failure::Key(
+                            "name a resource, --version or --target".into(),
+                        ));
+                    }
+                };
+                let why: Why = self.client.get(&format!("/v1/why?{topic}")).await?;
+                self.show(&why, output::why)
+            }
+            Command::Drain { resume } => {
+                let drain = Drain { draining: !resume };
+                let status: Status = self.client.post("/v1/drain", &drain).await?;
+                self.show(&status, |s| output::status(s, now_ms(), Palette::detect()))
+            }
+            Command::Completions { shell } => {
+                let mut command = Arguments::command();
+                clap_complete::generate(shell, &mut command, "medlarpoint", &mut std::io::stdout());
+                Ok(Exit::Success)
+            }
+        }
+    }
+
+    fn show<T: Serialize>(
+        &self,
+        value: &T,
+        text: impl FnOnce(&T) -> String,
+    ) -> Result<Exit, Failure> {
+        match self.format {
+            OutputFormat::Text => print!("{}", text(value)),
+            OutputFormat::Json => println!("{}", serde_json::to_string_pretty(value)?),
+        }
+        Ok(Exit::Success)
+    }
+
+    async fn apply(
+        &self,
+        file: &Path,
+        author: String,
+        force: bool,
+        wait: bool,
+        commit: Option<CommitId>,
+    ) -> Result<Exit, Failure> {
+        let document = read_document(file)?;
+        let present: Resources = self.client.get("/v1/resources").await?;
+        let edits = diff::edits(&diff::compare(&document, &present), force);
+        let resent = commit.is_some();
+        let commit = Commit {
+            commit: commit.unwrap_or_else(|| CommitId(rand::random())),
+            author,
+            since: if resent {
+                Version::ZERO
+            } else {
+                present.version
+            },
+            resent,
+            edits,
+        };
+        let committed = self.commit(commit).await?;
+        self.report(&committed)?;
+        if !wait {
+            return Ok(Exit::Success);
+        }
+        self.follow(committed.version, APPLY_WAIT).await
+    }
+
+    /// Commits; while the outcome is unknown, the same commit is sent again.
+    async fn commit(&self, mut commit: Commit) -> Result<Committed, Failure> {
+        let mut tries = 0;
+        loop {
+            let error = match self.client.post("/v1/commits", &commit).await {
+                Ok(committed) => return Ok(committed),
+                Err(error) => error,
+            };
+            let unsettled = error.is_unknown() || (commit.resent && error.exit() == Exit::Failure);
+            if !unsettled {
+                return Err(error.into());
+            }
+            if tries >= RESENDS {
+                return Err(Failure::Unknown(error.to_string(), commit.commit));
+            }
+            tries += 1;
+            commit.resent = true;
+            tokio::time::sleep(RESEND_PAUSE).await;
+        }
+    }
+
+    fn report(&self, committed: &Committed) -> Result<Exit, Failure> {
+        self.show(committed, |committed| {
+            if committed.unchanged {
+                format!("{}: everything already is as declared\n", committed.version)
+            } else {
+                format!(
+                    "{} committed (commit {})\n",
+                    committed.version, committed.commit
+                )
+            }
+        })
+    }
+
+    async fn get(&self, resource: Option<String>) -> Result<Exit, Failure> {
+        let path = match resource {
+            None => "/v1/resources".to_owned(),
+            Some(text) => match text.parse::<Kind>() {
+                Ok(kind) => format!("/v1/resources?kind={kind}"),
+                Err(_) => format!("/v1/resources/{}", parse_key(&text)?),
+            },
+        };
+        let resources: Resources = self.client.get(&path).await?;
+        self.show(&resources, output::resources)
+    }
+
+    async fn diff(&self, file: &Path) -> Result<Exit, Failure> {
+        let document = read_document(file)?;
+        let present: Resources = self.client.get("/v1/resources").await?;
+        let differences = diff::compare(&document, &present);
+        let edits: Vec<Edit> = diff::edits(&differences, false);
+        let palette = match self.format {
+            OutputFormat::Text => Palette::detect(),
+            OutputFormat::Json => Palette::plain(),
+        };
+        self.show(&edits, |_| output::differences(&differences, palette))?;
+        Ok(if edits.is_empty() {
+            Exit::Success
+        } else {
+            Exit::Different
+        })
+    }
+
+    async fn delete(&self, resources: &[String], author: String) -> Result<Exit, Failure> {
+        let present: Resources = self.client.get("/v1/resources").await?;
+        let mut edits = Vec::new();
+        for text in resources {
+            let key = parse_key(text)?;
+            let entry = present
+                .entries
+                .iter()
+                .find(|entry| entry.resource.key() == key);
+            let Some(entry) = entry else {
+                eprintln!("medlarpoint: {key} is not declared in {}", present.version);
+                return Ok(Exit::NotFound);
+            };
+            let expect = Expect::Changed(entry.changed);
+            edits.push(Edit {
+                change: Change::Delete(key),
+                expect,
+            });
+        }
+        let commit = Commit {
+            commit: CommitId(rand::random()),
+            author,
+            since: present.version,
+            resent: false,
+            edits,
+        };
+        let committed = self.commit(commit).await?;
+        self.report(&committed)
+    }
+
+    async fn watch(&self, version: Option<u64>, timeout: Duration) -> Result<Exit, Failure> {
+        let version = match version {
+            Some(version) => Version(version),
+            None => self.client.get::<Status>("/v1/status").await?.newest,
+        };
+        self.follow(version, timeout).await
+    }
+
+    async fn follow(&self, version: Version, timeout: Duration) -> Result<Exit, Failure> {
+        let text = self.format == OutputFormat::Text;
+        let print = |line: &str| {
+            if text {
+                println!("{line}");
+            }
+        };
+        let (followed, status) = follow(&self.client, version, timeout, print).await?;
+        if !text {
+            println!("{}", serde_json::to_string_pretty(&status)?);
+        }
+        Ok(match followed {
+            Followed::Everywhere => Exit::Success,
+            Followed::WhereSeen | Followed::TimedOut => Exit::Timeout,
+        })
+    }
+}
+
+fn parse_key(text: &str) -> Result<Key, Failure> {
+    text.parse::<Key>()
+        .map_err(|error| Failure::Key(error.to_string()))
+}
--- /dev/null
+++ b/crates/medlarpoint_cli/src/lib.rs
@@ -0,0 +1,13 @@
+//! The operators' command-line tool.
+
+mod arguments;
+mod client;
+mod command;
+mod diff;
+mod exit;
+mod output;
+mod progress;
+
+pub use arguments::{Arguments, Command, OutputFormat};
+pub use command::run;
+pub use exit::Exit;
--- /dev/null
+++ b/crates/medlarpoint_config/src/replica.rs
@@ -0,0 +1,186 @@
+//! The configuration in force on one daemon.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use medlarpoint_model::{Delta, Digest, Mismatch, Snapshot, Version};
+use medlarpoint_wire::{Pull, Tip, Update};
+
+use crate::Head;
+
+/// Deltas kept to answer peers.
+const MAX_RECENT: usize = 128;
+
+/// Holds one whole version and moves only forward.
+///
+/// Invariant: `current` has passed validation and matches its digest.
+/// Invariant: `recent` leads without a gap to `current`.
+#[derive(Clone, Debug)]
+pub struct Replica {
+    current: Arc<Snapshot>,
+    recent: VecDeque<Arc<Delta>>,
+}
+
+/// What an update changed.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Offer {
+    /// The version in force has risen; the deltas are known unless a
+    /// checkpoint was applied.
+    Applied(Vec<Arc<Delta>>),
+    /// Nothing newer was offered.
+    Nothing,
+}
+
+/// Why an update was not applied. The version in force is unchanged.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Rejection {
+    /// A check failed.
+    #[error(transparent)]
+    Mismatch(#[from] Mismatch),
+    /// The offer is older than what is in force.
+    #[error("{offered} was offered but {current} is in force")]
+    Older {
+        /// Version offered.
+        offered: Version,
+        /// Version in force.
+        current: Version,
+    },
+    /// The offer has the same version with other content.
+    #[error("{version} was offered with digest {offered} but {current} is in force")]
+    Fork {
+        /// The version.
+        version: Version,
+        /// Digest offered.
+        offered: Digest,
+        /// Digest in force.
+        current: Digest,
+    },
+}
+
+impl Default for Replica {
+    fn default() -> Self {
+        Self {
+            current: Arc::new(Snapshot::empty()),
+            recent: VecDeque::new(),
+        }
+    }
+}
+
+impl Replica {
+    /// Returns the version in force.
+    pub fn current(&self) -> &Arc<Snapshot> {
+        &self.current
+    }
+
+    /// Returns number and digest of the version in force.
+    pub fn tip(&self) -> Tip {
+        Tip {
+            version: self.current.version,
+            digest: self.current.digest,
+        }
+    }
+
+    /// Answers a peer.
+    pub fn answer(&self, pull: &Pull) -> Update {
+        if pull.have.version >= self.current.version {
+            return Update::Nothing;
+        }
+        let first = self.recent.iter().position(|delta| {
+            delta.version == pull.have.version.next() && delta.base_digest == pull.have.digest
+        });
+        match first {
+            Some(first) => Update::Chain(self.recent.iter().skip(first).cloned().collect()),
+            None => Update::Checkpoint(Arc::clone(&self.current)),
+        }
+    }
+
+    /// Applies what a peer answered.
+    pub fn offer(&mut self, update: Update) -> Result<Offer, Rejection> {
+        match update {
+            Update::Chain(deltas) => self.offer_chain(&deltas),
+            Update::Checkpoint(snapshot) => self.offer_checkpoint(Arc::unwrap_or_clone(snapshot)),
+            Update::Nothing => Ok(Offer::Nothing),
+        }
+    }
+
+    /// Applies a head read from the store. `Ok(None)` asks for the checkpoint
+    /// of the head.
+    pub fn offer_head(&mut self, head: &Head) -> Result<Option<Offer>, Rejection> {
+        self.check_order(head.version, head.digest)?;
+        if head.version == self.current.version {
+            return Ok(Some(Offer::Nothing));
+        }
+        if head.reaches(&self.current) {
+            return self.offer_chain(&head.deltas).map(Some);
+        }
+        if head.checkpoint == Version::ZERO {
+            let base = Snapshot::empty();
+            return self.offer_replay(head, &base).map(Some);
+        }
+        Ok(None)
+    }
+
+    /// Applies a head on top of its checkpoint.
+    pub fn offer_replay(&mut self, head: &Head, base: &Snapshot) -> Result<Offer, Rejection> {
+        self.check_order(head.version, head.digest)?;
+        if head.version == self.current.version {
+            return Ok(Offer::Nothing);
+        }
+        let next = head.replay(base).map_err(|_| Mismatch::Digest {
+            version: head.version,
+        })?;
+        let next = next.verify()?;
+        self.recent = head.deltas.iter().cloned().collect();
+        self.current = Arc::new(next);
+        Ok(Offer::Applied(head.deltas.clone()))
+    }
+
+    fn offer_chain(&mut self, deltas: &[Arc<Delta>]) -> Result<Offer, Rejection> {
+        let base = self.current.version;
+        let newer: Vec<Arc<Delta>> = deltas
+            .iter()
+            .filter(|delta| delta.version > base)
+            .cloned()
+            .collect();
+        if newer.is_empty() {
+            return Ok(Offer::Nothing);
+        }
+        let mut next = Snapshot::clone(&self.current);
+        for delta in &newer {
+            next = next.apply(delta)?;
+        }
+        self.current = Arc::new(next);
+        self.recent.extend(newer.iter().cloned());
+        let excess = self.recent.len().saturating_sub(MAX_RECENT);
+        self.recent.drain(..excess);
+        Ok(Offer::Applied(newer))
+    }
+
+    fn offer_checkpoint(&mut self, snapshot: Snapshot) -> Result<Offer, Rejection> {
+        self.check_order(snapshot.version, snapshot.digest)?;
+        if snapshot.version == self.current.version {
+            return Ok(Offer::Nothing);
+        }
+        self.current = Arc::new(snapshot.verify()?);
+        self.recent.clear();
+        Ok(Offer::Applied(Vec::new()))
+    }
+
+    fn check_order(&self, version: Version, digest: Digest) -> Result<(), Rejection> {
+        let current = self.tip();
+        if version < current.version {
+            return Err(Rejection::Older {
+                offered: version,
+                current: current.version,
+            });
+        }
+        if version == current.version && digest != current.digest {
+            return Err(Rejection::Fork {
+                version,
+                offered: digest,
+                current: current.digest,
+            });
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/medlarpoint_daemon/src/clock.rs
@@ -0,0 +1,42 @@
+//! The two clocks of a daemon.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Monotonic time since the daemon started, and wall-clock time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    /// Starts the monotonic clock.
+    pub(crate) fn start() -> Self {
+        Self {
+            start: Instant::now(),
+        }
+    }
+
+    /// Returns the time since the start.
+    pub(crate) fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// Converts a time since the start for the timers of the runtime.
+    pub(crate) fn instant(&self, at: Duration) -> tokio::time::Instant {
+        tokio::time::Instant::from_std(self.start + at)
+    }
+}
+
+/// Returns the wall-clock time, in milliseconds since the Unix epoch.
+pub(crate) fn wall_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis() as u64
+}
+
+/// Returns a random time up to `limit`, which spreads out those who wait for
+/// the same thing (full jitter).
+pub(crate) fn jitter(limit: Duration) -> Duration {
+    limit.mul_f64(rand::random::<f64>())
+}
--- /dev/null
+++ b/crates/medlarpoint_daemon/src/daemon.rs
@@ -0,0 +1,342 @@
+//! Starts and stops a daemon.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Mutex, RwLock};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use dropshot::{ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder};
+use indexmap::IndexMap;
+use medlarpoint_config::{History, Replica, Spreader};
+use medlarpoint_membership::{Detector, Options, Reporter};
+use medlarpoint_model::{Policy, Version};
+use medlarpoint_routing::Intake;
+use medlarpoint_store::Client;
+use medlarpoint_wire::{Boot, Record, Status};
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::{Notify, watch};
+
+use crate::clock::{Clock, wall_ms};
+use crate::control::Driver;
+use crate::event::Event;
+use crate::log::Log;
+use crate::pool::Pool;
+use crate::server::{self, Listener};
+use crate::settings::Settings;
+use crate::state::{Control, InForce, Shared, lock};
+use crate::traffic::{Reading, Traffic};
+use crate::{api, peer, reader, startup, target, view};
+
+/// Time others need to learn that this daemon leaves.
+const LEAVE_TIME: Duration = Duration::from_millis(1_500);
+/// Time between looks at the calls in flight during a planned stop.
+const DRAIN_CHECK: Duration = Duration::from_millis(20);
+/// Largest request body of the operators' API, in bytes.
+const MAX_API_BODY_BYTES: usize = 2_000_000;
+
+/// A daemon could not be started.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// An address cannot be listened on.
+    #[error("{key}: cannot listen on {address}: {reason}")]
+    Listen {
+        /// Key of the setting.
+        key: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// The system's reason.
+        reason: std::io::Error,
+    },
+    /// The operators' API cannot be started.
+    #[error("listen.api: {0}")]
+    Api(String),
+}
+
+/// Addresses a daemon listens on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Addresses {
+    /// For callers.
+    pub calls: SocketAddr,
+    /// For other daemons' outbound proxies.
+    pub inbound: SocketAddr,
+    /// For control messages.
+    pub peer: SocketAddr,
+    /// For operators.
+    pub api: SocketAddr,
+}
+
+/// A running daemon. Dropped without [`Daemon::close`], it stops at once.
+pub struct Daemon {
+    driver: Arc<Driver>,
+    addresses: Addresses,
+    api: HttpServer<api::Context>,
+}
+
+impl std::fmt::Debug for Daemon {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Daemon")
+            .field("addresses", &self.addresses)
+            .finish_non_exhaustive()
+    }
+}
+
+async fn listen(key: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|reason| StartError::Listen {
+        key,
+        address,
+        reason,
+    })
+}
+
+/// Binds the peer address for TCP and UDP, which share a port.
+async fn listen_peer(address: SocketAddr) -> Result<(TcpListener, UdpSocket), StartError> {
+    let key = "listen.peer";
+    let mut tries = 0;
+    loop {
+        let tcp = listen(key, address).await?;
+        let bound = tcp.local_addr().map_err(|reason| StartError::Listen {
+            key,
+            address,
+            reason,
+        })?;
+        match UdpSocket::bind(bound).await {
+            Ok(udp) => return Ok((tcp, udp)),
+            // With a port of the system's choice, the next one may be free.
+            Err(_) if address.port() == 0 && tries < 20 => tries += 1,
+            Err(reason) => {
+                return Err(StartError::Listen {
+                    key,
+                    address,
+                    reason,
+                });
+            }
+        }
+    }
+}
+
+fn local(listener: &TcpListener, wanted: SocketAddr) -> SocketAddr {
+    listener.local_addr().unwrap_or(wanted)
+}
+
+impl Daemon {
+    /// Starts a daemon. Callers are served once it has caught up.
+    pub async fn start(
+        settings: Settings,
+        log: Log,
+        metrics: Option<PrometheusHandle>,
+    ) -> Result<Self, StartError> {
+        let wanted = settings.options.listen.clone();
+        let calls = listen("listen.calls", wanted.calls).await?;
+        let inbound = listen("listen.inbound", wanted.inbound).await?;
+        let (peer, socket) = listen_peer(wanted.peer).await?;
+        let mut addresses = Addresses {
+            calls: local(&calls, wanted.calls),
+            inbound: local(&inbound, wanted.inbound),
+            peer: local(&peer, wanted.peer),
+            api: wanted.api,
+        };
+        let shared = Arc::new(share(settings, log, addresses));
+        let driver = Driver::new(Arc::clone(&shared), socket);
+        let api = start_api(&driver, metrics, wanted.api)?;
+        addresses.api = api.local_addr();
+        spawn_tasks(&driver, calls, inbound, peer);
+        shared.emit(&Event::Started {
+            vm: shared.settings.options.vm.clone(),
+            calls: addresses.calls,
+            inbound: addresses.inbound,
+            peer: addresses.peer,
+            api: addresses.api,
+        });
+        Ok(Self {
+            driver,
+            addresses,
+            api,
+        })
+    }
+
+    /// Returns the addresses.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Returns the version in force.
+    pub fn version(&self) -> Version {
+        self.driver.shared().version()
+    }
+
+    /// Tells whether callers are served.
+    pub fn is_ready(&self) -> bool {
+        self.driver.shared().is_ready()
+    }
+
+    /// Returns the status that operators see.
+    pub fn status(&self) -> medlarpoint_api::Status {
+        view::status(self.driver.shared())
+    }
+
+    /// Returns the control traffic sent so far.
+    pub fn traffic(&self) -> Reading {
+        self.driver.shared().traffic.read()
+    }
+
+    /// Cuts the links to some addresses, and to the store, for an experiment.
+    pub fn cut(&self, addresses: HashSet<SocketAddr>, store: bool) {
+        let shared = self.driver.shared();
+        shared.pool.cuts().set(addresses);
+        shared.store.set_cut(store);
+    }
+
+    /// Stops as planned: announces it, refuses new work as not run, lets what
+    /// is in flight end, then closes.
+    pub async fn close(self) {
+        let shared = Arc::clone(self.driver.shared());
+        let unfinished = unfinished(&shared);
+        shared.emit(&Event::Stopping { unfinished });
+        lock(&shared.intake).set_draining(true);
+        self.driver.leave();
+        let deadline = tokio::time::Instant::now() + shared.settings.drain_timeout;
+        let leave_time = LEAVE_TIME.min(shared.settings.drain_timeout);
+        tokio::time::sleep(leave_time).await;
+        shared.stopping.store(true, Ordering::Release);
+        shared.changed();
+        loop {
+            let left = crate::daemon::unfinished(&shared);
+            if left == 0 {
+                break;
+            }
+            if tokio::time::Instant::now() >= deadline {
+                shared.emit(&Event::DrainTimeout { unfinished: left });
+                break;
+            }
+            tokio::time::sleep(DRAIN_CHECK).await;
+        }
+        self.stop(&shared).await;
+        shared.emit(&Event::Stopped {});
+    }
+
+    /// Stops at once, as if the process had been killed.
+    pub async fn kill(self) {
+        let shared = Arc::clone(self.driver.shared());
+        self.stop(&shared).await;
+    }
+
+    async fn stop(self, shared: &Shared) {
+        shared.closed.send_replace(true);
+        if let Err(reason) = self.api.close().await {
+            shared.emit(&Event::ApiFailed { reason });
+        }
+    }
+}
+
+/// Returns the calls in flight on either side.
+fn unfinished(shared: &Shared) -> usize {
+    let outbound = shared.outbound_calls.load(Ordering::Acquire) as usize;
+    lock(&shared.intake).unfinished() + outbound
+}
+
+fn share(settings: Settings, log: Log, addresses: Addresses) -> Shared {
+    let clock = Clock::start();
+    let boot = wall_ms();
+    let options = &settings.options;
+    let me = Record {
+        vm: options.vm.clone(),
+        data_centre: options.data_centre.clone(),
+        region: options.region.clone(),
+        peer: addresses.peer,
+        inbound: addresses.inbound,
+        boot: Boot(boot),
+        incarnation: Detector::first_incarnation(Boot(boot)),
+        status: Status::Alive,
+        target: None,
+    };
+    let membership = Options {
+        period: Duration::from_millis(options.membership.period_ms),
+        timeout: Duration::from_millis(options.membership.period_ms * 3 / 10),
+        suspicion: Duration::from_millis(options.membership.suspicion_ms),
+        ..Options::default()
+    };
+    let detector = Detector::new(membership, me, clock.now(), rand::random());
+    let replica = Replica::default();
+    let in_force = InForce::new(Arc::clone(replica.current()));
+    let intake = Intake::new(options.vm.clone(), boot, Policy::default(), clock.now());
+    let control = Control {
+        detector,
+        replica,
+        spreader: Spreader::default(),
+        reporter: Reporter::default(),
+        history: History::default(),
+        reporter_since: None,
+        applied_ms: 0,
+        last_rejection: None,
+        waiting: Some("catching up".to_owned()),
+        store_down: None,
+    };
+    Shared {
+        store: Client::new(&settings.endpoints, settings.store_timeout),
+        settings,
+        clock,
+        boot,
+        log,
+        traffic: Traffic::default(),
+        control: Mutex::new(control),
+        in_force: ArcSwap::from_pointee(in_force),
+        services: RwLock::new(IndexMap::new()),
+        intake: Mutex::new(intake),
+        waiters: Mutex::default(),
+        target: Mutex::new(None),
+        pool: Arc::new(Pool::default()),
+        ready: AtomicBool::new(false),
+        stopping: AtomicBool::new(false),
+        outbound_calls: AtomicU64::new(0),
+        pull: Notify::new(),
+        changes: watch::Sender::new(0),
+        closed: watch::Sender::new(false),
+    }
+}
+
+fn start_api(
+    driver: &Arc<Driver>,
+    metrics: Option<PrometheusHandle>,
+    address: SocketAddr,
+) -> Result<HttpServer<api::Context>, StartError> {
+    let description = api::description().map_err(|e| StartError::Api(e.to_string()))?;
+    let context = api::Context {
+        driver: Arc::clone(driver),
+        metrics,
+    };
+    // Its own log lines would repeat ours in another shape.
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let config = ConfigDropshot {
+        bind_address: address,
+        default_request_body_max_bytes: MAX_API_BODY_BYTES,
+        default_handler_task_mode: HandlerTaskMode::Detached,
+        ..ConfigDropshot::default()
+    };
+    let server = ServerBuilder::new(description, context, log)
+        .config(config)
+        .start();
+    server.map_err(|error| StartError::Api(error.to_string()))
+}
+
+fn spawn_tasks(driver: &Arc<Driver>, calls: TcpListener, inbound: TcpListener, peer: TcpListener) {
+    let shared = driver.shared();
+    tokio::spawn(Arc::clone(driver).receive());
+    tokio::spawn(Arc::clone(driver).tick());
+    tokio::spawn(Arc::clone(driver).pull());
+    tokio::spawn(peer::serve(Arc::clone(shared), peer));
+    tokio::spawn(server::serve(Arc::clone(shared), calls, Listener::Calls));
+    tokio::spawn(server::serve(
+        Arc::clone(shared),
+        inbound,
+        Listener::Inbound,
+    ));
+    tokio::spawn(reader::watch_head(Arc::clone(driver)));
+    tokio::spawn(reader::keep_contacts(Arc::clone(shared)));
+    tokio::spawn(startup::catch_up(Arc::clone(driver)));
+    tokio::spawn(target::look_after(Arc::clone(driver)));
+}
--- /dev/null
+++ b/crates/medlarpoint_daemon/src/explain.rs
@@ -0,0 +1,210 @@
+//! Explains a resource, a version or a target from this daemon's point of view.
+
+use medlarpoint_api::{Finding, Why};
+use medlarpoint_model::{Entry, Key, Name, Resource, Version, Vm};
+use medlarpoint_wire::{Record, Stage};
+
+use crate::state::{Control, Shared, lock};
+
+fn finding(kind: &str, text: String) -> Finding {
+    Finding {
+        kind: kind.to_owned(),
+        text,
+    }
+}
+
+fn why(shared: &Shared, resource: Option<Key>, findings: Vec<Finding>) -> Why {
+    let vm = shared.settings.options.vm.clone();
+    Why {
+        vm,
+        version: shared.version(),
+        resource,
+        findings,
+    }
+}
+
+/// Explains why a resource is, or is not, in force here, and who serves it.
+pub(crate) fn resource(shared: &Shared, key: Key) -> Why {
+    let in_force = shared.in_force.load_full();
+    let control = lock(&shared.control);
+    let mut findings = Vec::new();
+    match in_force.snapshot.entries.get(&key) {
+        None => findings.push(absent(&control, &key)),
+        Some(entry) => {
+            findings.push(present(&control, entry));
+            findings.extend(
+                service_of(entry)
+                    .iter()
+                    .flat_map(|s| targets(shared, &control, s)),
+            );
+        }
+    }
+    drop(control);
+    why(shared, Some(key), findings)
+}
+
+fn absent(control: &Control, key: &Key) -> Finding {
+    let deleted = control.history.lines().rev().find(|line| {
+        let mut changes = line.delta.changes.iter();
+        changes.any(|change| change.key() == *key)
+    });
+    match deleted {
+        Some(line) => finding(
+            "deleted",
+            format!(
+                "{key} was deleted in {} by {}",
+                line.delta.version, line.delta.author
+            ),
+        ),
+        None => finding(
+            "absent",
+            format!("{key} is not declared in the version in force here"),
+        ),
+    }
+}
+
+fn present(control: &Control, entry: &Entry) -> Finding {
+    let key = entry.resource.key();
+    let line = control
+        .history
+        .lines()
+        .find(|line| line.delta.version == entry.changed);
+    let text = match line {
+        Some(line) => format!(
+            "{key} is as {} committed it in {} at {} ms (commit {})",
+            line.delta.author, entry.changed, line.delta.at_ms, line.delta.commit,
+        ),
+        None => format!("{key} is as committed in {}", entry.changed),
+    };
+    finding("in-force", text)
+}
+
+fn service_of(entry: &Entry) -> Option<Name> {
+    match &entry.resource {
+        Resource::Route(route) => Some(route.service.clone()),
+        Resource::Service(service) => Some(service.name.clone()),
+        Resource::Policy(_) => None,
+    }
+}
+
+fn targets(shared: &Shared, control: &Control, service: &Name) -> Vec<Finding> {
+    let serves = |record: &&Record| {
+        record
+            .target
+            .as_ref()
+            .is_some_and(|target| target.service == *service)
+    };
+    let members = control
+        .detector
+        .table()
+        .members()
+        .map(|member| &member.record);
+    let found: Vec<Finding> = members
+        .filter(serves)
+        .map(|record| target_finding(shared, record))
+        .collect();
+    if found.is_empty() {
+        let text = format!("no target has announced itself for {service}");
+        return vec![finding("no-target", text)];
+    }
+    found
+}
+
+fn target_finding(shared: &Shared, record: &Record) -> Finding {
+    let place = format!("{} in {}", record.vm, record.data_centre);
+    if !record.is_live() {
+        return finding("excluded", format!("{place} is {}", record.status));
+    }
+    let Some(target) = &record.target else {
+        return finding("excluded", format!("{place} has no target"));
+    };
+    if target.stage == Stage::Draining {
+        return finding("excluded", format!("{place} is draining"));
+    }
+    let now = shared.now();
+    let ejected = shared.service(&target.service).and_then(|service| {
+        let picker = lock(&service.picker);
+        picker.ejected(now, &record.vm)
+    });
+    match ejected {
+        Some(until) => {
+            let left = until.saturating_sub(now).as_millis();
+            let text = format!("{place} cannot be reached from here; tried again in {left} ms");
+            finding("set-aside", text)
+        }
+        None => finding(
+            "eligible",
+            format!("{place} takes calls, {} slots", target.slots),
+        ),
+    }
+}
+
+/// Explains what became of a version.
+pub(crate) fn version(shared: &Shared, asked: Version) -> Why {
+    let control = lock(&shared.control);
+    let current = control.replica.current().version;
+    let mut findings = Vec::new();
+    let line = control
+        .history
+        .lines()
+        .find(|line| line.delta.version == asked);
+    match line {
+        Some(line) => {
+            let delta = &line.delta;
+            let text = format!(
+                "{asked} was committed by {} at {} ms (commit {}) and changes {} resources",
+                delta.author,
+                delta.at_ms,
+                delta.commit,
+                delta.changes.len(),
+            );
+            findings.push(finding("committed", text));
+            for (place, seen) in &line.in_force {
+                let text = format!(
+                    "in force in {place} at {} ms, seen with {}",
+                    seen.at_ms, seen.seen
+                );
+                findings.push(finding("in-force", text));
+            }
+        }
+        None => findings.push(finding(
+            "unknown",
+            format!("{asked} is not in the history here"),
+        )),
+    }
+    let text = if asked > current {
+        format!("{current} is in force here: {asked} has not arrived")
+    } else {
+        format!("{current} is in force here, which includes {asked}")
+    };
+    findings.push(finding("local", text));
+    if let Some((at_ms, reason)) = &control.last_rejection {
+        findings.push(finding(
+            "refused",
+            format!("last refusal here, at {at_ms} ms: {reason}"),
+        ));
+    }
+    drop(control);
+    why(shared, None, findings)
+}
+
+/// Explains why the target of a VM gets calls from here, or does not.
+pub(crate) fn target(shared: &Shared, vm: &Vm) -> Why {
+    let control = lock(&shared.control);
+    let found = match control.detector.table().get(vm) {
+        Some(member) => {
+            let age = shared.now().saturating_sub(member.since).as_secs();
+            let text = format!("{vm} has been {} for {age} s", member.record.status);
+            vec![
+                finding("member", text),
+                target_finding(shared, &member.record),
+            ]
+        }
+        None => vec![finding(
+            "unknown",
+            format!("{vm} is not a member known here"),
+        )],
+    };
+    drop(control);
+    why(shared, None, found)
+}
--- /dev/null
+++ b/crates/medlarpoint_daemon/src/header.rs
@@ -0,0 +1,112 @@
+//! Headers between the proxies, and those told to callers.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderName, HeaderValue};
+use medlarpoint_routing::Load;
+
+/// Fleet of the sender.
+pub(crate) const FLEET: HeaderName = HeaderName::from_static("medlarpoint-fleet");
+/// Identity of an attempt.
+pub(crate) const ATTEMPT: HeaderName = HeaderName::from_static("medlarpoint-attempt");
+/// Asks about an attempt instead of making one.
+pub(crate) const QUERY: HeaderName = HeaderName::from_static("medlarpoint-query");
+/// Time since the attempt asked about was sent, in milliseconds.
+pub(crate) const AGE_MS: HeaderName = HeaderName::from_static("medlarpoint-age-ms");
+/// Run of the daemon an attempt is meant for.
+pub(crate) const BOOT: HeaderName = HeaderName::from_static("medlarpoint-boot");
+/// Route of the call.
+pub(crate) const ROUTE: HeaderName = HeaderName::from_static("medlarpoint-route");
+/// Tenant of the call; set by the caller.
+pub(crate) const TENANT: HeaderName = HeaderName::from_static("medlarpoint-tenant");
+/// Time left for the call, in milliseconds; a caller may set it.
+pub(crate) const DEADLINE_MS: HeaderName = HeaderName::from_static("medlarpoint-deadline-ms");
+/// Set to `no` below a layer that sends calls again itself.
+pub(crate) const RETRY: HeaderName = HeaderName::from_static("medlarpoint-retry");
+/// Number of proxies a chain of calls has passed.
+pub(crate) const DEPTH: HeaderName = HeaderName::from_static("medlarpoint-depth");
+/// Idempotency key of the caller.
+pub(crate) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// What is known of the call: `ran`, `not-run` or `unknown`.
+pub(crate) const OUTCOME: HeaderName = HeaderName::from_static("medlarpoint-outcome");
+/// Where on its way the call failed.
+pub(crate) const POINT: HeaderName = HeaderName::from_static("medlarpoint-point");
+/// What an inbound proxy knows of an attempt asked about.
+pub(crate) const KNOWN: HeaderName = HeaderName::from_static("medlarpoint-known");
+/// When to come back, in milliseconds.
+pub(crate) const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("medlarpoint-retry-after-ms");
+/// Load of the target: running, queued, slots.
+pub(crate) const LOAD: HeaderName = HeaderName::from_static("medlarpoint-load");
+/// VM that holds an idempotency key.
+pub(crate) const CLAIM_VM: HeaderName = HeaderName::from_static("medlarpoint-claim-vm");
+/// Run of the daemon that holds an idempotency key.
+pub(crate) const CLAIM_BOOT: HeaderName = HeaderName::from_static("medlarpoint-claim-boot");
+/// VM that answered.
+pub(crate) const VM: HeaderName = HeaderName::from_static("medlarpoint-vm");
+/// Configuration version the call was routed by.
+pub(crate) const VERSION: HeaderName = HeaderName::from_static("medlarpoint-version");
+
+/// Headers of one connection, never passed on (RFC 9110, 7.6.1).
+const HOP_BY_HOP: [HeaderName; 8] = [
+    http::header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    http::header::PROXY_AUTHENTICATE,
+    http::header::PROXY_AUTHORIZATION,
+    http::header::TE,
+    http::header::TRAILER,
+    http::header::TRANSFER_ENCODING,
+    http::header::UPGRADE,
+];
+
+/// Parses a header value.
+pub(crate) fn parse<T: FromStr>(headers: &HeaderMap, name: &HeaderName) -> Option<T> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+/// Parses a header value in milliseconds.
+pub(crate) fn millis(headers: &HeaderMap, name: &HeaderName) -> Option<Duration> {
+    parse(headers, name).map(Duration::from_millis)
+}
+
+/// Sets a header from text that is known to be valid, or leaves it out.
+pub(crate) fn set(headers: &mut HeaderMap, name: HeaderName, text: &str) {
+    if let Ok(value) = HeaderValue::from_str(text) {
+        headers.insert(name, value);
+    }
+}
+
+/// Removes the headers of one connection.
+pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    if let Some(connection) = headers.remove(http::header::CONNECTION) {
+        let named = connection.to_str().unwrap_or_default().split(',');
+        let named: Vec<HeaderName> = named.filter_map(|n| n.trim().parse().ok()).collect();
+        for name in named {
+            headers.remove(name);
+        }
+    }
+    for name in HOP_BY_HOP {
+        headers.remove(name);
+    }
+}
+
+/// Writes a load report.
+pub(crate) fn set_load(headers: &mut HeaderMap, load: Load) {
+    set(
+        headers,
+        LOAD,
+        &format!("{},{},{}", load.running, load.queued, load.slots),
+    );
+}
+
+/// Reads a load report.
+pub(crate) fn load(headers: &HeaderMap) -> Option<Load> {
+    let text = headers.get(&LOAD)?.to_str().ok()?;
+    let mut parts = text.split(',').map(str::parse::<u32>);
+    let mut next = || parts.next()?.ok();
+    Some(Load {
+        running: next()?,
+        queued: next()?,
+        slots: next()?,
+    })
+}
--- /dev/null
+++ b/crates/medlarpoint_daemon/src/lib.rs
@@ -0,0 +1,40 @@
+//! The daemon: drivers, API, proxies, settings, metrics.
+
+mod api;
+mod body;
+mod clock;
+mod commit;
+mod control;
+mod cuts;
+mod daemon;
+mod event;
+mod explain;
+mod header;
+mod inbound;
+mod limit;
+mod log;
+mod metrics;
+mod outbound;
+mod peer;
+mod pool;
+mod reader;
+mod server;
+mod services;
+mod settings;
+mod startup;
+mod state;
+mod target;
+mod traffic;
+mod view;
+
+pub use api::{DocumentError, openapi};
+pub use daemon::{Addresses, Daemon, StartError};
+pub use event::{CATALOGUE, Described, Event, Level};
+pub use limit::Exceeded;
+pub use log::{Format as LogFormat, Log, SetupError};
+pub use metrics::{InstallError, install as install_metrics};
+pub use settings::{
+    ApiOptions, InvalidSettings, LimitOptions, ListenOptions, LogOptions, MembershipOptions,
+    Options, Settings, StoreOptions,
+};
+pub use traffic::{Reading, Traffic};
--- /dev/null
+++ b/crates/medlarpoint_daemon/src/server.rs
@@ -0,0 +1,119 @@
+//! Accepts connections of callers and of other daemons' outbound proxies.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+
+use crate::body::Body;
+use crate::event::Event;
+use crate::state::Shared;
+use crate::{inbound, outbound};
+
+/// Connections from other daemons at a time.
+const MAX_INBOUND_CONNECTIONS: usize = 8_192;
+/// Pause after an accept that failed, for example for lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Streams at a time on one HTTP/2 connection.
+const MAX_STREAMS: u32 = 256;
+
+/// Who connects to a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "lowercase")]
+pub(crate) enum Listener {
+    /// Callers.
+    Calls,
+    /// Other daemons.
+    Inbound,
+}
+
+/// Serves a listener until the daemon closes.
+pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener, kind: Listener) {
+    let limit = match kind {
+        Listener::Calls => shared.settings.options.limits.connections,
+        Listener::Inbound => MAX_INBOUND_CONNECTIONS,
+    };
+    let connections = Arc::new(Semaphore::new(limit));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = shared.wait_closed() => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let Ok(permit) = Arc::clone(&connections).try_acquire_owned() else {
+            shared.emit(&Event::ConnectionLimit {
+                listener: kind.to_string(),
+                limit,
+            });
+            continue;
+        };
+        let shared = Arc::clone(&shared);
+        tokio::spawn(async move {
+            match kind {
+                Listener::Calls => serve_stream(&shared, stream, outbound::serve).await,
+                Listener::Inbound => serve_stream(&shared, stream, inbound::serve).await,
+            }
+            drop(permit);
+        });
+    }
+}
+
+async fn serve_stream<F>(
+    shared: &Arc<Shared>,
+    stream: TcpStream,
+    handle: impl Fn(Arc<Shared>, Request<Incoming>) -> F,
+) where
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    // Without it, answers are only slower.
+    let _ = stream.set_nodelay(true);
+    let limits = &shared.settings.options.limits;
+    let service = service_fn(|request| {
+        let answer = handle(Arc::clone(shared), request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.head_timeout_ms))
+        .max_buf_size(limits.head_bytes);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(limits.head_bytes as u32)
+        .max_concurrent_streams(MAX_STREAMS)
+        .keep_alive_interval(Duration::from_secs(10));
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        // A broken connection is the other end's to notice.
+        _ = connection.as_mut() => return,
+        () = wait_stopping(shared) => connection.as_mut().graceful_shutdown(),
+    }
+    tokio::select! {
+        _ = connection => {}
+        () = shared.wait_closed() => {}
+    }
+}
+
+/// Waits until a planned stop has let its last call in.
+async fn wait_stopping(shared: &Shared) {
+    let mut changes = shared.changes.subscribe();
+    while !shared.is_stopping() {
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/medlarpoint_daemon/src/services.rs
@@ -0,0 +1,72 @@
+//! Keeps the pickers in step with membership.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use indexmap::IndexMap;
+use medlarpoint_config::Distance;
+use medlarpoint_model::Name;
+use medlarpoint_routing::{Budget, Choice, Endpoint, Hedge, Locality, Picker, Strategy};
+use medlarpoint_wire::{Record, Stage};
+
+use crate::state::{Control, ServiceState, Shared, lock};
+
+impl ServiceState {
+    fn new(seed: u64) -> Self {
+        Self {
+            picker: Mutex::new(Picker::new(Strategy::default(), seed)),
+            retries: Mutex::new(Budget::default()),
+            hedges: Mutex::new(Budget::default()),
+            short: Mutex::new(Hedge::default()),
+            long: Mutex::new(Hedge::default()),
+        }
+    }
+}
+
+fn endpoint(shared: &Shared, record: &Record) -> Option<(Name, Endpoint)> {
+    let target = record
+        .target
+        .as_ref()
+        .filter(|target| target.stage == Stage::Ready)?;
+    let choice = Choice {
+        vm: record.vm.clone(),
+        boot: record.boot.0,
+        address: record.inbound,
+    };
+    let locality = match shared.distance(record) {
+        Distance::Near => Locality::Near,
+        Distance::Region => Locality::Region,
+        Distance::Remote => Locality::Remote,
+    };
+    Some((
+        target.service.clone(),
+        Endpoint {
+            choice,
+            locality,
+            slots: target.slots,
+        },
+    ))
+}
+
+/// Rebuilds the targets of each service from the live members.
+pub(crate) fn refresh(shared: &Shared, control: &Control) {
+    let mut targets: IndexMap<Name, Vec<Endpoint>> = IndexMap::new();
+    for record in control.detector.table().live() {
+        if let Some((service, endpoint)) = endpoint(shared, record) {
+            targets.entry(service).or_default().push(endpoint);
+        }
+    }
+    let mut services = shared
+        .services
+        .write()
+        .unwrap_or_else(PoisonError::into_inner);
+    for name in targets.keys() {
+        let seed = rand::random();
+        services
+            .entry(name.clone())
+            .or_insert_with(|| Arc::new(ServiceState::new(seed)));
+    }
+    for (name, state) in services.iter() {
+        let endpoints = targets.swap_remove(name).unwrap_or_default();
+        lock(&state.picker).update(endpoints);
+    }
+}
--- /dev/null
+++ b/crates/medlarpoint_daemon/src/settings.rs
@@ -0,0 +1,344 @@
+//! Settings: as written (`Options`) and as checked (`Settings`).
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use medlarpoint_model::{DataCentre, Name, Region, Vm};
+use medlarpoint_store::Endpoint;
+use schemars::JsonSchema;
+use serde::Deserialize;
+
+use crate::log;
+
+/// Settings as written in the file.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Options {
+    /// Name of the fleet; daemons of other fleets are refused.
+    pub fleet: Name,
+    /// Name of this VM, unique in the fleet.
+    pub vm: Vm,
+    /// Data centre of this VM.
+    pub data_centre: DataCentre,
+    /// Region of the data centre.
+    pub region: Region,
+    /// Peer addresses of other daemons, for a start while the store is down.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Longest time a planned stop waits for calls in flight, in milliseconds.
+    #[serde(default = "default_drain_timeout_ms")]
+    pub drain_timeout_ms: u64,
+    /// Worker threads; 0 takes one per core.
+    #[serde(default = "default_workers")]
+    pub workers: usize,
+    /// Listening addresses.
+    pub listen: ListenOptions,
+    /// The platform's store.
+    pub store: StoreOptions,
+    /// The operators' API.
+    #[serde(default)]
+    pub api: ApiOptions,
+    /// Logs.
+    #[serde(default)]
+    pub log: LogOptions,
+    /// Limits on what a caller may send.
+    #[serde(default)]
+    pub limits: LimitOptions,
+    /// Failure detection.
+    #[serde(default)]
+    pub membership: MembershipOptions,
+}
+
+fn default_drain_timeout_ms() -> u64 {
+    30_000
+}
+
+fn default_workers() -> usize {
+    2
+}
+
+/// Listening addresses. Each has to be an address that peers can reach.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct ListenOptions {
+    /// For callers.
+    pub calls: SocketAddr,
+    /// For calls from other daemons to this VM's target.
+    pub inbound: SocketAddr,
+    /// For control messages of other daemons, over TCP and UDP.
+    pub peer: SocketAddr,
+    /// For operators and the target's announcements.
+    pub api: SocketAddr,
+}
+
+/// The platform's store.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct StoreOptions {
+    /// Addresses of the store's servers.
+    pub endpoints: Vec<SocketAddr>,
+    /// Region of the store; readers in other regions wait for its relays.
+    pub region: Region,
+    /// Longest time a call may take, in milliseconds.
+    #[serde(default = "default_store_timeout_ms")]
+    pub timeout_ms: u64,
+}
+
+fn default_store_timeout_ms() -> u64 {
+    1_000
+}
+
+/// The operators' API.
+#[derive(Clone, Debug, Default, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct ApiOptions {
+    /// File that holds the bearer token for writes.
+    #[serde(default)]
+    pub token_file: Option<PathBuf>,
+    /// Environment variable that holds the bearer token for writes.
+    #[serde(default)]
+    pub token_env: Option<String>,
+}
+
+/// Logs.
+#[derive(Clone, Debug, Default, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct LogOptions {
+    /// `text`, `json` or `off`.
+    #[serde(default)]
+    pub format: log::Format,
+}
+
+/// Limits on what a caller may send.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitOptions {
+    /// Connections from callers at a time.
+    pub connections: usize,
+    /// Size of the request head, in bytes; at least 8,192.
+    pub head_bytes: usize,
+    /// Size of a request body, in bytes.
+    pub body_bytes: u64,
+    /// Longest time to wait for the head of a request, in milliseconds.
+    pub head_timeout_ms: u64,
+    /// Longest pause within a request body, in milliseconds.
+    pub body_pause_ms: u64,
+}
+
+impl Default for LimitOptions {
+    fn default() -> Self {
+        Self {
+            connections: 4_096,
+            head_bytes: 32 * 1024,
+            body_bytes: 1 << 30,
+            head_timeout_ms: 10_000,
+            body_pause_ms: 10_000,
+        }
+    }
+}
+
+/// Failure detection.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct MembershipOptions {
+    /// Time between probes, in milliseconds.
+    pub period_ms: u64,
+    /// Time a suspected member has to answer, in milliseconds.
+    pub suspicion_ms: u64,
+}
+
+impl Default for MembershipOptions {
+    fn default() -> Self {
+        Self {
+            period_ms: 1_000,
+            suspicion_ms: 3_000,
+        }
+    }
+}
+
+/// Checked settings.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The options, each within its range.
+    pub options: Options,
+    /// Store servers.
+    pub endpoints: Vec<Endpoint>,
+    /// Longest time a store call may take.
+    pub store_timeout: Duration,
+    /// Longest time a planned stop waits.
+    pub drain_timeout: Duration,
+    /// Bearer token for writes; without one, writes are taken only from this machine.
+    pub token: Option<String>,
+}
+
+/// A fault in the settings.
+#[derive(Debug, thiserror::Error)]
+pub enum InvalidSettings {
+    /// The file cannot be read.
+    #[error("cannot read {path}: {reason}")]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// The system's reason.
+        reason: std::io::Error,
+    },
+    /// The file is not TOML, or a key is unknown, missing or malformed.
+    #[error("line {line}: {message}")]
+    Malformed {
+        /// Line of the fault, from 1.
+        line: usize,
+        /// What is wrong, with the key.
+        message: String,
+    },
+    /// A value is out of range.
+    #[error("{key}: {message}")]
+    Value {
+        /// The key.
+        key: &'static str,
+        /// What is wrong and how to mend it.
+        message: String,
+    },
+}
+
+impl Options {
+    /// Parses the text of a settings file.
+    pub fn parse(text: &str) -> Result<Self, InvalidSettings> {
+        toml::from_str(text).map_err(|error| {
+            let start = error.span().map_or(0, |span| span.start);
+            let line = text
+                .get(..start)
+                .map_or(1, |before| before.matches('\n').count() + 1);
+            InvalidSettings::Malformed {
+                line,
+                message: error.message().to_owned(),
+            }
+        })
+    }
+
+    /// Checks every value.
+    pub fn resolve(self) -> Result<Settings, InvalidSettings> {
+        let listen = &self.listen;
+        for (key, address) in [
+            ("listen.calls", listen.calls),
+            ("listen.inbound", listen.inbound),
+            ("listen.peer", listen.peer),
+            ("listen.api", listen.api),
+        ] {
+            if address.ip().is_unspecified() {
+                let message = format!("{address} is no address that peers can reach: name one");
+                return Err(InvalidSettings::Value { key, message });
+            }
+        }
+        if self.store.endpoints.is_empty() {
+            return Err(value(
+                "store.endpoints",
+                "is empty: name at least one server",
+            ));
+        }
+        range("store.timeout_ms", self.store.timeout_ms, 10, 60_000)?;
+        range("drain_timeout_ms", self.drain_timeout_ms, 0, 3_600_000)?;
+        range("workers", self.workers as u64, 0, 1_024)?;
+        range(
+            "limits.connections",
+            self.limits.connections as u64,
+            1,
+            1_000_000,
+        )?;
+        range(
+            "limits.head_bytes",
+            self.limits.head_bytes as u64,
+            8_192,
+            1 << 20,
+        )?;
+        range(
+            "limits.head_timeout_ms",
+            self.limits.head_timeout_ms,
+            100,
+            600_000,
+        )?;
+        range(
+            "limits.body_pause_ms",
+            self.limits.body_pause_ms,
+            100,
+            600_000,
+        )?;
+        range(
+            "membership.period_ms",
+            self.membership.period_ms,
+            50,
+            60_000,
+        )?;
+        range(
+            "membership.suspicion_ms",
+            self.membership.suspicion_ms,
+            100,
+            600_000,
+        )?;
+        let token = read_token(&self.api)?;
+        Ok(Settings {
+            endpoints: self.store.endpoints.iter().copied().map(Endpoint).collect(),
+            store_timeout: Duration::from_millis(self.store.timeout_ms),
+            drain_timeout: Duration::from_millis(self.drain_timeout_ms),
+            token,
+            options: self,
+        })
+    }
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    pub fn read(path: &Path) -> Result<Self, InvalidSettings> {
+        let unreadable = |reason| InvalidSettings::Unreadable {
+            path: path.to_owned(),
+            reason,
+        };
+        let text = std::fs::read_to_string(path).map_err(unreadable)?;
+        Options::parse(&text)?.resolve()
+    }
+}
+
+fn value(key: &'static str, message: &str) -> InvalidSettings {
+    InvalidSettings::Value {
+        key,
+        message: message.to_owned(),
+    }
+}
+
+fn range(key: &'static str, found: u64, low: u64, high: u64) -> Result<(), InvalidSettings> {
+    if (low..=high).contains(&found) {
+        return Ok(());
+    }
+    Err(InvalidSettings::Value {
+        key,
+        message: format!("{found} is outside {low} to {high}"),
+    })
+}
+
+fn read_token(api: &ApiOptions) -> Result<Option<String>, InvalidSettings> {
+    let token = match (&api.token_file, &api.token_env) {
+        (None, None) => return Ok(None),
+        (Some(_), Some(_)) => {
+            return Err(value(
+                "api.token_env",
+                "set either token_file or token_env, not both",
+            ));
+        }
+        (Some(path), None) => {
+            std::fs::read_to_string(path).map_err(|reason| InvalidSettings::Unreadable {
+                path: path.clone(),
+                reason,
+            })?
+        }
+        (None, Some(name)) => std::env::var(name)
+            .map_err(|_| value("api.token_env", "names a variable that is not set"))?,
+    };
+    let token = token.trim().to_owned();
+    if token.len() < 16 {
+        return Err(value(
+            "api.token_file",
+            "holds a token of less than 16 bytes",
+        ));
+    }
+    Ok(Some(token))
+}
--- /dev/null
+++ b/crates/medlarpoint_daemon/src/state.rs
@@ -0,0 +1,188 @@
+//! Tables shared by the workers of a daemon.
+//!
+//! Lock order: `control`, then `services`, then a service's picker, budgets
+//! or hedges, then `intake`, then `waiters`. No lock is held across an await.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use indexmap::IndexMap;
+use medlarpoint_config::{Distance, History, Rejection, Replica, Spreader};
+use medlarpoint_membership::{Detector, Reporter};
+use medlarpoint_model::{Name, Snapshot, Version};
+use medlarpoint_routing::{Budget, Hedge, Intake, Picker, Routes};
+use medlarpoint_store::Client;
+use medlarpoint_wire::{Record, Stage, Tip};
+use tokio::sync::{Notify, watch};
+
+use crate::clock::Clock;
+use crate::event::Event;
+use crate::inbound::{Kept, Waiters};
+use crate::log::Log;
+use crate::pool::Pool;
+use crate::settings::Settings;
+use crate::traffic::Traffic;
+
+/// The version in force with its compiled routes.
+#[derive(Debug)]
+pub(crate) struct InForce {
+    pub(crate) snapshot: Arc<Snapshot>,
+    pub(crate) routes: Routes,
+}
+
+impl InForce {
+    pub(crate) fn new(snapshot: Arc<Snapshot>) -> Self {
+        let routes = Routes::compile(&snapshot);
+        Self { snapshot, routes }
+    }
+}
+
+/// What an outbound proxy knows of a service.
+#[derive(Debug)]
+pub(crate) struct ServiceState {
+    pub(crate) picker: Mutex<Picker>,
+    pub(crate) retries: Mutex<Budget>,
+    pub(crate) hedges: Mutex<Budget>,
+    pub(crate) short: Mutex<Hedge>,
+    pub(crate) long: Mutex<Hedge>,
+}
+
+/// Decisions of the control plane, under one lock since their rate is low.
+#[derive(Debug)]
+pub(crate) struct Control {
+    pub(crate) detector: Detector,
+    pub(crate) replica: Replica,
+    pub(crate) spreader: Spreader,
+    pub(crate) reporter: Reporter,
+    pub(crate) history: History,
+    /// When this daemon became a reporter, on the local clock.
+    pub(crate) reporter_since: Option<Duration>,
+    pub(crate) applied_ms: u64,
+    pub(crate) last_rejection: Option<(u64, Rejection)>,
+    /// Why callers are not served yet.
+    pub(crate) waiting: Option<String>,
+    /// Why the store is taken to be down, and since when in wall-clock
+    /// milliseconds.
+    pub(crate) store_down: Option<(u64, String)>,
+}
+
+/// The target of this VM.
+#[derive(Clone, Debug)]
+pub(crate) struct TargetState {
+    pub(crate) service: Name,
+    pub(crate) address: SocketAddr,
+    pub(crate) slots: u32,
+    pub(crate) connections: u32,
+    pub(crate) stage: Stage,
+    pub(crate) failures: u32,
+    pub(crate) down: bool,
+}
+
+/// Everything the tasks of a daemon share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) boot: u64,
+    pub(crate) log: Log,
+    pub(crate) store: Client,
+    pub(crate) traffic: Traffic,
+    pub(crate) control: Mutex<Control>,
+    pub(crate) in_force: ArcSwap<InForce>,
+    pub(crate) services: RwLock<IndexMap<Name, Arc<ServiceState>>>,
+    pub(crate) intake: Mutex<Intake<Kept>>,
+    pub(crate) waiters: Mutex<Waiters>,
+    pub(crate) target: Mutex<Option<TargetState>>,
+    pub(crate) pool: Arc<Pool>,
+    pub(crate) ready: AtomicBool,
+    pub(crate) stopping: AtomicBool,
+    /// Calls from callers that are not answered yet.
+    pub(crate) outbound_calls: AtomicU64,
+    /// Wakes the pull loop.
+    pub(crate) pull: Notify,
+    /// Counts changes that operators can watch.
+    pub(crate) changes: watch::Sender<u64>,
+    /// Set once the daemon closes.
+    pub(crate) closed: watch::Sender<bool>,
+}
+
+/// Locks a table. A worker that panicked leaves tables whose invariants hold
+/// between calls, so its poison is ignored.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Shared {
+    pub(crate) fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    pub(crate) fn emit(&self, event: &Event) {
+        self.log.emit(event);
+    }
+
+    /// Tells those who watch that something has changed.
+    pub(crate) fn changed(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    pub(crate) fn fleet(&self) -> &Name {
+        &self.settings.options.fleet
+    }
+
+    pub(crate) fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn distance(&self, record: &Record) -> Distance {
+        let options = &self.settings.options;
+        if record.data_centre == options.data_centre {
+            Distance::Near
+        } else if record.region == options.region {
+            Distance::Region
+        } else {
+            Distance::Remote
+        }
+    }
+
+    /// Returns the distance of a control address; unknown ones count as near.
+    pub(crate) fn distance_of(&self, control: &Control, peer: SocketAddr) -> Distance {
+        let record = control
+            .detector
+            .table()
+            .live()
+            .find(|record| record.peer == peer);
+        record.map_or(Distance::Near, |record| self.distance(record))
+    }
+
+    pub(crate) fn tip(&self) -> Tip {
+        let in_force = self.in_force.load();
+        Tip {
+            version: in_force.snapshot.version,
+            digest: in_force.snapshot.digest,
+        }
+    }
+
+    pub(crate) fn version(&self) -> Version {
+        self.in_force.load().snapshot.version
+    }
+
+    pub(crate) fn service(&self, name: &Name) -> Option<Arc<ServiceState>> {
+        let services = self.services.read().unwrap_or_else(PoisonError::into_inner);
+        services.get(name).cloned()
+    }
+
+    /// Waits until the daemon closes.
+    pub(crate) async fn wait_closed(&self) {
+        let mut closed = self.closed.subscribe();
+        // An error means that the daemon is gone, which is closed as well.
+        let _ = closed.wait_for(|closed| *closed).await;
+    }
+}
--- /dev/null
+++ b/crates/medlarpoint_daemon/src/view.rs
@@ -0,0 +1,149 @@
+//! Builds the answers of the operators' API from the shared tables.
+
+use std::time::Duration;
+
+use medlarpoint_api::{
+    Action, Changed, History, Laggard, Line, Place, PlaceState, Reached, Status, Store,
+    TargetStatus,
+};
+use medlarpoint_membership::Summed;
+use medlarpoint_model::{Change, DataCentre, Version};
+use medlarpoint_wire::Stage;
+
+use crate::state::{Control, Shared, lock};
+
+/// Age at which a data centre's summary no longer says what is in force.
+const STALE: Duration = Duration::from_secs(10);
+
+/// Newest version any data centre is known to have.
+fn newest(control: &Control) -> Version {
+    let summaries = control
+        .detector
+        .summaries()
+        .iter()
+        .map(|s| s.summary.version);
+    summaries.fold(control.replica.current().version, Version::max)
+}
+
+/// Describes the fleet.
+pub(crate) fn status(shared: &Shared) -> Status {
+    let control = lock(&shared.control);
+    let options = &shared.settings.options;
+    let newest = newest(&control);
+    let now = shared.now();
+    let mut data_centres: Vec<Place> = control
+        .detector
+        .summaries()
+        .iter()
+        .map(|summed| place(summed, newest, now))
+        .collect();
+    data_centres.sort_unstable_by(|a, b| a.data_centre.cmp(&b.data_centre));
+    let down = control.store_down.clone();
+    let tip = control.replica.tip();
+    Status {
+        change: *shared.changes.borrow(),
+        vm: options.vm.clone(),
+        data_centre: options.data_centre.clone(),
+        region: options.region.clone(),
+        serving: shared.is_ready() && !shared.is_stopping(),
+        waiting: control.waiting.clone(),
+        version: tip.version,
+        digest: tip.digest,
+        newest,
+        store: Store {
+            available: down.is_none(),
+            down_since_ms: down.as_ref().map(|(since, _)| *since),
+            reason: down.map(|(_, reason)| reason),
+        },
+        data_centres,
+        target: target(shared),
+    }
+}
+
+fn place(summed: &Summed, newest: Version, now: Duration) -> Place {
+    let summary = &summed.summary;
+    let age = now.saturating_sub(summed.heard);
+    let state = match (age >= STALE, summary.version >= newest) {
+        (true, _) => PlaceState::Unknown,
+        (false, true) => PlaceState::InForce,
+        (false, false) => PlaceState::Converging,
+    };
+    let laggard = |lag: &medlarpoint_wire::Lag| Laggard {
+        vm: lag.vm.clone(),
+        applied: lag.applied,
+    };
+    Place {
+        data_centre: summary.data_centre.clone(),
+        state,
+        version: summary.version,
+        since_ms: summary.since_ms,
+        live: summary.live,
+        behind: summary.behind,
+        laggards: summary.laggards.iter().map(laggard).collect(),
+        heard_ms_ago: age.as_millis() as u64,
+    }
+}
+
+fn target(shared: &Shared) -> Option<TargetStatus> {
+    let load = {
+        let now = shared.now();
+        lock(&shared.intake).load(now)
+    };
+    let target = lock(&shared.target);
+    let target = target.as_ref()?;
+    Some(TargetStatus {
+        service: target.service.clone(),
+        slots: target.slots,
+        usable: load.slots,
+        running: load.running,
+        queued: load.queued,
+        draining: target.stage == Stage::Draining,
+        down: target.down,
+    })
+}
+
+/// Lists the recent versions, newest first.
+pub(crate) fn history(shared: &Shared, limit: usize) -> History {
+    let control = lock(&shared.control);
+    let places: Vec<DataCentre> = control
+        .detector
+        .summaries()
+        .iter()
+        .map(|s| s.summary.data_centre.clone())
+        .collect();
+    let lines = control.history.lines().rev().take(limit);
+    History {
+        lines: lines.map(|known| line(known, &places)).collect(),
+    }
+}
+
+fn line(known: &medlarpoint_config::Line, places: &[DataCentre]) -> Line {
+    let delta = &known.delta;
+    let changed = |change: &Change| Changed {
+        action: match change {
+            Change::Put(_) => Action::Put,
+            Change::Delete(_) => Action::Delete,
+        },
+        key: change.key(),
+    };
+    let reached = |place: &DataCentre| {
+        let in_force = known.in_force.get(place);
+        Reached {
+            data_centre: place.clone(),
+            at_ms: in_force.map(|seen| seen.at_ms),
+            with: in_force
+                .map(|seen| seen.seen)
+                .filter(|seen| *seen != delta.version),
+        }
+    };
+    let mut in_force: Vec<Reached> = places.iter().map(reached).collect();
+    in_force.sort_unstable_by(|a, b| a.data_centre.cmp(&b.data_centre));
+    Line {
+        version: delta.version,
+        author: delta.author.clone(),
+        commit: delta.commit,
+        at_ms: delta.at_ms,
+        changes: delta.changes.iter().map(changed).collect(),
+        in_force,
+    }
+}
--- /dev/null
+++ b/crates/medlarpoint_dev/src/lib.rs
@@ -0,0 +1,9 @@
+//! Generated documentation and its check.
+
+mod cli;
+mod events;
+mod generate;
+mod outcomes;
+mod settings;
+
+pub use generate::{Failure, Mode, generate_all};
--- /dev/null
+++ b/crates/medlarpoint_model/src/fault.rs
@@ -0,0 +1,74 @@
+//! Faults in declared resources.
+
+use std::fmt;
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// The rule that a fault breaks. Codes are stable.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    Serialize,
+    Deserialize,
+    JsonSchema,
+    strum::Display,
+    strum::EnumIter,
+    strum::EnumProperty,
+    strum::IntoStaticStr,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum Rule {
+    /// The document is not TOML or JSON.
+    #[strum(props(code = "MR001"))]
+    Syntax,
+    /// A field is unknown, missing or of the wrong type.
+    #[strum(props(code = "MR002"))]
+    Shape,
+    /// A resource is declared twice in one document.
+    #[strum(props(code = "MR003"))]
+    Duplicate,
+    /// A route names a service that does not exist.
+    #[strum(props(code = "MR004"))]
+    DanglingService,
+    /// A service names a policy that does not exist.
+    #[strum(props(code = "MR005"))]
+    UnknownPolicy,
+    /// A number is outside its permitted range.
+    #[strum(props(code = "MR006"))]
+    Range,
+    /// A path prefix, method, host or header is malformed.
+    #[strum(props(code = "MR007"))]
+    Matcher,
+    /// Two routes match exactly the same calls.
+    #[strum(props(code = "MR008"))]
+    Ambiguous,
+}
+
+/// One fault, with the path of the offending field.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema, thiserror::Error)]
+#[error("{path}: {message} [{rule}]")]
+pub struct Fault {
+    /// The broken rule.
+    pub rule: Rule,
+    /// Path of the field, for example `route[book-cart].service`.
+    pub path: String,
+    /// What is wrong and how to mend it.
+    pub message: String,
+}
+
+/// All the faults of a document or a configuration; never empty.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema, thiserror::Error)]
+pub struct Faults(pub Vec<Fault>);
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let texts: Vec<String> = self.0.iter().map(ToString::to_string).collect();
+        f.write_str(&texts.join("; "))
+    }
+}
--- /dev/null
+++ b/crates/medlarpoint_model/src/policy.rs
@@ -0,0 +1,42 @@
+//! Policies: limits, budgets and shares.
+
+use indexmap::IndexMap;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::{Name, Tenant};
+
+/// Limits and budgets for calls to a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Policy {
+    /// Name of the policy, unique among policies.
+    pub name: Name,
+    /// Share of a target's slots that long work may hold, in percent.
+    pub long_share_percent: u8,
+    /// Most calls waiting for a slot, per slot of the target.
+    pub queue_per_slot: u16,
+    /// Retries allowed, in percent of first attempts.
+    pub retry_budget_percent: u8,
+    /// Hedges allowed, in percent of first attempts.
+    pub hedge_budget_percent: u8,
+    /// Time over which a new target's slots open up, in milliseconds.
+    pub ramp_ms: u64,
+    /// Weight of each tenant in the queue; tenants not listed weigh 1.
+    #[serde(skip_serializing_if = "IndexMap::is_empty")]
+    pub tenant_weights: IndexMap<Tenant, u16>,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            name: "default".parse::<Name>().expect("a valid literal"),
+            long_share_percent: 50,
+            queue_per_slot: 8,
+            retry_budget_percent: 10,
+            hedge_budget_percent: 5,
+            ramp_ms: 2_000,
+            tenant_weights: IndexMap::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/medlarpoint_model/src/service.rs
@@ -0,0 +1,17 @@
+//! Services: named groups of targets.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::Name;
+
+/// A named group of interchangeable targets. Targets announce themselves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Name of the service, unique among services.
+    pub name: Name,
+    /// Policy for calls to the service; the built-in default when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub policy: Option<Name>,
+}
--- /dev/null
+++ b/crates/medlarpoint_model/src/snapshot.rs
@@ -0,0 +1,168 @@
+//! A whole configuration version.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    Change, Delta, Digest, Entry, Faults, Key, Name, Policy, Resource, Route, Service, Version,
+    validate,
+};
+
+/// Every resource of one configuration version.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The version.
+    pub version: Version,
+    /// Digest of `entries`.
+    pub digest: Digest,
+    /// All resources. Invariant: sorted by key.
+    pub entries: IndexMap<Key, Entry>,
+}
+
+/// Why a delta or a checkpoint was not applied.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Mismatch {
+    /// The delta does not follow the version at hand.
+    #[error("delta leads to {delta} but the base is {base}: fetch the versions between")]
+    Version {
+        /// Version at hand.
+        base: Version,
+        /// Version the delta leads to.
+        delta: Version,
+    },
+    /// The base has other content than the delta was made for.
+    #[error("content of {base} differs from the base of the delta: fetch a checkpoint")]
+    BaseDigest {
+        /// Version at hand.
+        base: Version,
+    },
+    /// The result has other content than the sender declared.
+    #[error("content of {version} differs from its declared digest: fetch a checkpoint")]
+    Digest {
+        /// Version that failed the check.
+        version: Version,
+    },
+    /// The result breaks a validation rule.
+    #[error("{version} is invalid: {faults}")]
+    Invalid {
+        /// Version that failed the check.
+        version: Version,
+        /// What is wrong.
+        faults: Faults,
+    },
+}
+
+impl Snapshot {
+    /// Builds the result of `changes` as the next version, without validation.
+    #[must_use]
+    pub fn edit(&self, changes: &[Change]) -> Self {
+        let version = self.version.next();
+        let mut entries = self.entries.clone();
+        for change in changes {
+            match change {
+                Change::Put(resource) => {
+                    let entry = Entry {
+                        resource: resource.clone(),
+                        changed: version,
+                    };
+                    entries.insert(resource.key(), entry);
+                }
+                Change::Delete(key) => {
+                    entries.shift_remove(key);
+                }
+            }
+        }
+        entries.sort_unstable_keys();
+        let digest = Digest::of(&entries);
+        Self {
+            version,
+            digest,
+            entries,
+        }
+    }
+
+    /// Applies `delta`, checking base, result and validity.
+    pub fn apply(&self, delta: &Delta) -> Result<Self, Mismatch> {
+        if delta.version != self.version.next() {
+            return Err(Mismatch::Version {
+                base: self.version,
+                delta: delta.version,
+            });
+        }
+        if delta.base_digest != self.digest {
+            return Err(Mismatch::BaseDigest { base: self.version });
+        }
+        let next = self.edit(&delta.changes);
+        if next.digest != delta.digest {
+            return Err(Mismatch::Digest {
+                version: next.version,
+            });
+        }
+        next.checked()
+    }
+
+    /// Verifies digest and validity of a snapshot received from elsewhere.
+    pub fn verify(mut self) -> Result<Self, Mismatch> {
+        self.entries.sort_unstable_keys();
+        if Digest::of(&self.entries) != self.digest {
+            return Err(Mismatch::Digest {
+                version: self.version,
+            });
+        }
+        self.checked()
+    }
+
+    fn checked(self) -> Result<Self, Mismatch> {
+        match validate(&self) {
+            Ok(()) => Ok(self),
+            Err(faults) => Err(Mismatch::Invalid {
+                version: self.version,
+                faults,
+            }),
+        }
+    }
+
+    /// Returns the empty configuration.
+    pub fn empty() -> Self {
+        let entries = IndexMap::new();
+        Self {
+            version: Version::ZERO,
+            digest: Digest::of(&entries),
+            entries,
+        }
+    }
+
+    /// Iterates over the routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.entries
+            .values()
+            .filter_map(|entry| match &entry.resource {
+                Resource::Route(route) => Some(route),
+                _ => None,
+            })
+    }
+
+    /// Looks up a service by name.
+    pub fn service(&self, name: &Name) -> Option<&Service> {
+        let key = Key {
+            kind: crate::Kind::Service,
+            name: name.clone(),
+        };
+        match &self.entries.get(&key)?.resource {
+            Resource::Service(service) => Some(service),
+            _ => None,
+        }
+    }
+
+    /// Looks up a policy by name.
+    pub fn policy(&self, name: &Name) -> Option<&Policy> {
+        let key = Key {
+            kind: crate::Kind::Policy,
+            name: name.clone(),
+        };
+        match &self.entries.get(&key)?.resource {
+            Resource::Policy(policy) => Some(policy),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/medlarpoint_routing/src/fair.rs
@@ -0,0 +1,157 @@
+//! A queue that shares its turns among tenants by weight.
+
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+use medlarpoint_model::Name;
+
+use crate::{AttemptId, Ticket};
+
+#[derive(Clone, Debug)]
+struct Queued {
+    ticket: Ticket,
+    /// Virtual time at which the ticket's turn starts.
+    start: f64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Lane {
+    tickets: VecDeque<Queued>,
+    finish: f64,
+}
+
+/// Start-time fair queue with one lane per tenant.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Fair {
+    lanes: IndexMap<Name, Lane>,
+    clock: f64,
+    len: usize,
+}
+
+impl Fair {
+    pub(crate) fn len(&self) -> usize {
+        self.len
+    }
+
+    pub(crate) fn push(&mut self, ticket: Ticket) {
+        let lane = self.lanes.entry(ticket.tenant.clone()).or_default();
+        let start = lane.finish.max(self.clock);
+        lane.finish = start + 1.0 / f64::from(ticket.weight.max(1));
+        lane.tickets.push_back(Queued { ticket, start });
+        self.len += 1;
+    }
+
+    /// Takes the ticket whose turn comes first.
+    pub(crate) fn pop(&mut self) -> Option<Ticket> {
+        let heads = self.lanes.iter().enumerate();
+        let heads = heads.filter_map(|(i, (_, lane))| Some((i, lane.tickets.front()?.start)));
+        let (index, start) = heads.min_by(|a, b| a.1.total_cmp(&b.1))?;
+        let (_, lane) = self.lanes.get_index_mut(index)?;
+        let queued = lane.tickets.pop_front()?;
+        self.clock = start;
+        self.len -= 1;
+        let clock = self.clock;
+        self.lanes
+            .retain(|_, lane| !lane.tickets.is_empty() || lane.finish > clock);
+        Some(queued.ticket)
+    }
+
+    /// Takes the newest ticket of the lane that is longest for its weight, if
+    /// that lane is longer than the one of `tenant` would become.
+    pub(crate) fn displace(&mut self, tenant: &Name, weight: u16) -> Option<Ticket> {
+        let share = |len: usize, weight: u16| len as f64 / f64::from(weight.max(1));
+        let mine = self.lanes.get(tenant).map_or(0, |lane| lane.tickets.len());
+        let mine = share(mine + 1, weight);
+        let lanes = self.lanes.values_mut().filter_map(|lane| {
+            let weight = lane.tickets.back()?.ticket.weight;
+            Some((share(lane.tickets.len(), weight), lane))
+        });
+        let (longest, lane) = lanes.max_by(|a, b| a.0.total_cmp(&b.0))?;
+        if longest <= mine {
+            return None;
+        }
+        let queued = lane.tickets.pop_back()?;
+        lane.finish = queued.start;
+        self.len -= 1;
+        Some(queued.ticket)
+    }
+
+    pub(crate) fn remove(&mut self, attempt: AttemptId) -> Option<Ticket> {
+        for lane in self.lanes.values_mut() {
+            let place = lane
+                .tickets
+                .iter()
+                .position(|q| q.ticket.attempt == attempt);
+            let Some(queued) = place.and_then(|place| lane.tickets.remove(place)) else {
+                continue;
+            };
+            self.len -= 1;
+            return Some(queued.ticket);
+        }
+        None
+    }
+
+    /// Takes every ticket for which `test` holds.
+    pub(crate) fn extract(&mut self, test: impl Fn(&Ticket) -> bool) -> Vec<Ticket> {
+        let mut taken = Vec::new();
+        for lane in self.lanes.values_mut() {
+            let (out, keep): (Vec<Queued>, Vec<Queued>) = lane
+                .tickets
+                .drain(..)
+                .partition(|queued| test(&queued.ticket));
+            lane.tickets = keep.into();
+            taken.extend(out.into_iter().map(|queued| queued.ticket));
+        }
+        self.len -= taken.len();
+        taken
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use medlarpoint_model::Class;
+
+    use super::Fair;
+    use crate::{AttemptId, Ticket};
+
+    fn ticket(id: u128, tenant: &str, weight: u16) -> Ticket {
+        Ticket {
+            attempt: AttemptId(id),
+            class: Class::Short,
+            tenant: tenant.parse().unwrap(),
+            weight,
+            deadline: Duration::MAX,
+        }
+    }
+
+    #[test]
+    fn turns_follow_the_weights() {
+        let mut fair = Fair::default();
+        for id in 0..40 {
+            fair.push(ticket(id, "busy", 1));
+        }
+        for id in 40..60 {
+            fair.push(ticket(id, "chairs", 3));
+        }
+        let first: Vec<_> = (0..20).filter_map(|_| fair.pop()).collect();
+        let chairs = first
+            .iter()
+            .filter(|t| t.tenant.as_str() == "chairs")
+            .count();
+        assert_eq!(chairs, 15);
+    }
+
+    #[test]
+    fn a_light_tenant_displaces_the_heaviest() {
+        let mut fair = Fair::default();
+        for id in 0..8 {
+            fair.push(ticket(id, "busy", 1));
+        }
+        let displaced = fair.displace(&"light".parse().unwrap(), 1).unwrap();
+        assert_eq!(displaced.attempt, AttemptId(7));
+        assert!(fair.displace(&"busy".parse().unwrap(), 1).is_none());
+        assert_eq!(fair.len(), 7);
+    }
+}
--- /dev/null
+++ b/crates/medlarpoint_routing/src/gate.rs
@@ -0,0 +1,400 @@
+//! Admission to a target's slots.
+
+use std::time::Duration;
+
+use medlarpoint_model::{Class, Name, Policy};
+
+use crate::AttemptId;
+use crate::fair::Fair;
+
+/// Weight of the newest service time in the moving average.
+const SMOOTHING: f64 = 0.1;
+/// Shortest advice on when to come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// A call that asks for a slot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ticket {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// Scheduling class.
+    pub class: Class,
+    /// Tenant whose turn it uses.
+    pub tenant: Name,
+    /// Weight of the tenant.
+    pub weight: u16,
+    /// Latest time by which it must be done.
+    pub deadline: Duration,
+}
+
+/// Why a call is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Refusal {
+    /// The queue is full.
+    QueueFull,
+    /// It would not be done by its deadline.
+    TooLate,
+    /// A tenant with less than its share needed the place.
+    Displaced,
+    /// There is no target to run it.
+    NoTarget,
+}
+
+/// Answer to a ticket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Entry {
+    /// Runs now.
+    Run,
+    /// Waits.
+    Queued,
+    /// Does not run; come back after the given time.
+    Refused(Refusal, Duration),
+}
+
+/// A decision on a ticket that waited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Settled {
+    /// Runs now.
+    Run(AttemptId),
+    /// Does not run; come back after the given time.
+    Refused(AttemptId, Refusal, Duration),
+}
+
+/// How busy a target is, as its inbound proxy knows exactly.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Calls running.
+    pub running: u32,
+    /// Calls waiting.
+    pub queued: u32,
+    /// Slots usable now.
+    pub slots: u32,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Side {
+    running: u32,
+    queue: Fair,
+    /// Mean service time in seconds; zero before the first.
+    service_s: f64,
+}
+
+/// Slots of one target with a queue per class.
+///
+/// Invariant: long work holds at most its share of the slots, and running
+/// work never exceeds the slots usable at the time it started.
+#[derive(Clone, Debug)]
+pub struct Gate {
+    slots: u32,
+    policy: Policy,
+    opened: Duration,
+    short: Side,
+    long: Side,
+}
+
+impl Gate {
+    /// Opens a target with `slots` slots at `now`; zero slots admit nothing.
+    pub fn new(slots: u32, policy: Policy, now: Duration) -> Self {
+        Self {
+            slots,
+            policy,
+            opened: now,
+            short: Side::default(),
+            long: Side::default(),
+        }
+    }
+
+    /// Changes the policy.
+    pub fn set_policy(&mut self, policy: Policy) {
+        self.policy = policy;
+    }
+
+    /// Returns the policy.
+    pub fn policy(&self) -> &Policy {
+        &self.policy
+    }
+
+    /// Changes the number of slots; from zero, the target ramps up anew.
+    pub fn set_slots(&mut self, slots: u32, now: Duration) {
+        if self.slots == 0 && slots > 0 {
+            self.opened = now;
+        }
+        self.slots = slots;
+    }
+
+    /// Asks for a slot. A displaced ticket of another tenant is returned too.
+    pub fn arrive(&mut self, now: Duration, ticket: Ticket) -> (Entry, Option<Settled>) {
+        let usable = self.usable(now);
+        if usable == 0 {
+            return (Entry::Refused(Refusal::NoTarget, MIN_RETRY_AFTER), None);
+        }
+        let class = ticket.class;
+        let service = self.service(class);
+        if self.side(class).queue.len() == 0 && self.has_slot(class, usable) {
+            if now >= ticket.deadline {
+                return (Entry::Refused(Refusal::TooLate, MIN_RETRY_AFTER), None);
+            }
+            self.side_mut(class).running += 1;
+            return (Entry::Run, None);
+        }
+        let wait = self.wait(class, usable);
+        if now + wait + service > ticket.deadline {
+            return (
+                Entry::Refused(Refusal::TooLate, self.retry_after(class, usable)),
+                None,
+            );
+        }
+        let limit = usable as usize * usize::from(self.policy.queue_per_slot);
+        let mut displaced = None;
+        if self.side(class).queue.len() >= limit {
+            let retry_after = self.retry_after(class, usable);
+            let queue = &mut self.side_mut(class).queue;
+            let Some(other) = queue.displace(&ticket.tenant, ticket.weight) else {
+                return (Entry::Refused(Refusal::QueueFull, retry_after), None);
+            };
+            displaced = Some(Settled::Refused(
+                other.attempt,
+                Refusal::Displaced,
+                retry_after,
+            ));
+        }
+        self.side_mut(class).queue.push(ticket);
+        (Entry::Queued, displaced)
+    }
+
+    /// Frees a slot and returns who runs next, and who no longer can.
+    pub fn leave(&mut self, now: Duration, class: Class, took: Option<Duration>) -> Vec<Settled> {
+        let side = self.side_mut(class);
+        side.running = side.running.saturating_sub(1);
+        if let Some(took) = took {
+            let sample = took.as_secs_f64();
+            let fresh = side.service_s == 0.0;
+            let weight = if fresh { 1.0 } else { SMOOTHING };
+            side.service_s += (sample - side.service_s) * weight;
+        }
+        self.admit(now)
+    }
+
+    /// Takes a waiting ticket back; tells whether it was waiting.
+    pub fn remove(&mut self, attempt: AttemptId) -> bool {
+        self.short
+            .queue
+            .remove(attempt)
+            .or_else(|| self.long.queue.remove(attempt))
+            .is_some()
+    }
+
+    /// Refuses what can no longer be done in time and fills slots that a ramp
+    /// has opened.
+    pub fn sweep(&mut self, now: Duration) -> Vec<Settled> {
+        let mut settled = Vec::new();
+        for class in [Class::Short, Class::Long] {
+            let usable = self.usable(now);
+            let retry_after = self.retry_after(class, usable);
+            let service = self.service(class);
+            let late = self
+                .side_mut(class)
+                .queue
+                .extract(|t| now + service > t.deadline);
+            let refuse = |t: Ticket| Settled::Refused(t.attempt, Refusal::TooLate, retry_after);
+            settled.extend(late.into_iter().map(refuse));
+        }
+        settled.extend(self.admit(now));
+        settled
+    }
+
+    /// Returns the load now.
+    pub fn load(&self, now: Duration) -> Load {
+        Load {
+            running: self.short.running + self.long.running,
+            queued: (self.short.queue.len() + self.long.queue.len()) as u32,
+            slots: self.usable(now),
+        }
+    }
+
+    fn admit(&mut self, now: Duration) -> Vec<Settled> {
+        let mut settled = Vec::new();
+        let usable = self.usable(now);
+        while let Some(class) = self.next_class(usable) {
+            let retry_after = self.retry_after(class, usable);
+            let service = self.service(class);
+            let side = self.side_mut(class);
+            let Some(ticket) = side.queue.pop() else {
+                break;
+            };
+            if now + service > ticket.deadline {
+                settled.push(Settled::Refused(
+                    ticket.attempt,
+                    Refusal::TooLate,
+                    retry_after,
+                ));
+                continue;
+            }
+            side.running += 1;
+            settled.push(Settled::Run(ticket.attempt));
+        }
+        settled
+    }
+
+    /// Short work goes first, but long work that waits always gets one slot.
+    fn next_class(&self, usable: u32) -> Option<Class> {
+        let long_waits = self.long.queue.len() > 0 && self.has_slot(Class::Long, usable);
+        if long_waits && self.long.running == 0 {
+            return Some(Class::Long);
+        }
+        if self.short.queue.len() > 0 && self.has_slot(Class::Short, usable) {
+            return Some(Class::Short);
+        }
+        long_waits.then_some(Class::Long)
+    }
+
+    fn has_slot(&self, class: Class, usable: u32) -> bool {
+        let free = self.short.running + self.long.running < usable;
+        match class {
+            Class::Short => free,
+            Class::Long => free && self.long.running < self.long_limit(usable),
+        }
+    }
+
+    fn long_limit(&self, usable: u32) -> u32 {
+        (usable * u32::from(self.policy.long_share_percent) / 100).max(1)
+    }
+
+    /// Slots open up in proportion to the time since the target appeared.
+    fn usable(&self, now: Duration) -> u32 {
+        let ramp = Duration::from_millis(self.policy.ramp_ms);
+        let age = now.saturating_sub(self.opened);
+        if self.slots == 0 || age >= ramp {
+            return self.slots;
+        }
+        let share = age.as_secs_f64() / ramp.as_secs_f64();
+        ((f64::from(self.slots) * share) as u32).clamp(1, self.slots)
+    }
+
+    fn service(&self, class: Class) -> Duration {
+        Duration::from_secs_f64(self.side(class).service_s)
+    }
+
+    fn wait(&self, class: Class, usable: u32) -> Duration {
+        let ahead = self.side(class).queue.len() as f64 + 1.0;
+        let slots = match class {
+            Class::Short => usable.saturating_sub(self.long.running).max(1),
+            Class::Long => self.long_limit(usable),
+        };
+        Duration::from_secs_f64(self.side(class).service_s * ahead / f64::from(slots))
+    }
+
+    /// Time until the present queue has drained.
+    fn retry_after(&self, class: Class, usable: u32) -> Duration {
+        self.wait(class, usable).max(MIN_RETRY_AFTER)
+    }
+
+    fn side(&self, class: Class) -> &Side {
+        match class {
+            Class::Short => &self.short,
+            Class::Long => &self.long,
+        }
+    }
+
+    fn side_mut(&mut self, class: Class) -> &mut Side {
+        match class {
+            Class::Short => &mut self.short,
+            Class::Long => &mut self.long,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use medlarpoint_model::{Class, Policy};
+
+    use super::{Entry, Gate, Refusal, Settled, Ticket};
+    use crate::AttemptId;
+
+    const NOW: Duration = Duration::from_secs(100);
+
+    fn gate(slots: u32) -> Gate {
+        let policy = Policy {
+            ramp_ms: 0,
+            queue_per_slot: 2,
+            ..Policy::default()
+        };
+        Gate::new(slots, policy, Duration::ZERO)
+    }
+
+    fn ticket(id: u128, class: Class, deadline_ms: u64) -> Ticket {
+        Ticket {
+            attempt: AttemptId(id),
+            class,
+            tenant: "t".parse().unwrap(),
+            weight: 1,
+            deadline: NOW + Duration::from_millis(deadline_ms),
+        }
+    }
+
+    #[test]
+    fn long_work_leaves_slots_to_short_work() {
+        let mut gate = gate(4);
+        let entries: Vec<Entry> = (0..3)
+            .map(|id| gate.arrive(NOW, ticket(id, Class::Long, 1_000)).0)
+            .collect();
+        assert_eq!(entries, [Entry::Run, Entry::Run, Entry::Queued]);
+        assert_eq!(
+            gate.arrive(NOW, ticket(9, Class::Short, 1_000)).0,
+            Entry::Run
+        );
+    }
+
+    #[test]
+    fn waiting_long_work_is_not_starved() {
+        let mut gate = gate(1);
+        gate.arrive(NOW, ticket(1, Class::Short, 1_000));
+        gate.arrive(NOW, ticket(2, Class::Short, 1_000));
+        gate.arrive(NOW, ticket(3, Class::Long, 1_000));
+        assert_eq!(
+            gate.leave(NOW, Class::Short, None),
+            [Settled::Run(AttemptId(3))]
+        );
+    }
+
+    #[test]
+    fn what_cannot_be_done_in_time_is_refused_at_once() {
+        let mut gate = gate(1);
+        gate.arrive(NOW, ticket(1, Class::Short, 1_000));
+        gate.leave(NOW, Class::Short, Some(Duration::from_millis(100)));
+        gate.arrive(NOW, ticket(2, Class::Short, 1_000));
+        let (entry, _) = gate.arrive(NOW, ticket(3, Class::Short, 150));
+        assert_eq!(
+            entry,
+            Entry::Refused(Refusal::TooLate, Duration::from_millis(100))
+        );
+        assert_eq!(
+            gate.arrive(NOW, ticket(4, Class::Short, 250)).0,
+            Entry::Queued
+        );
+        let later = NOW + Duration::from_millis(200);
+        let refused = gate.sweep(later);
+        assert!(matches!(
+            refused[..],
+            [Settled::Refused(AttemptId(4), Refusal::TooLate, _)]
+        ));
+    }
+
+    #[test]
+    fn a_new_target_opens_slot_by_slot() {
+        let policy = Policy {
+            ramp_ms: 1_000,
+            ..Policy::default()
+        };
+        let mut gate = Gate::new(10, policy, NOW);
+        assert_eq!(gate.load(NOW).slots, 1);
+        assert_eq!(gate.load(NOW + Duration::from_millis(500)).slots, 5);
+        assert_eq!(gate.load(NOW + Duration::from_secs(1)).slots, 10);
+        gate.set_slots(0, NOW + Duration::from_secs(2));
+        let (entry, _) = gate.arrive(NOW + Duration::from_secs(2), ticket(1, Class::Short, 9_000));
+        assert!(matches!(entry, Entry::Refused(Refusal::NoTarget, _)));
+    }
+}
--- /dev/null
+++ b/crates/medlarpoint_routing/src/lib.rs
@@ -0,0 +1,36 @@
+//! Request routing, admission, retry and at-most-once decisions; no I/O.
+//!
+//! [`Call`] is the outbound side of one call: whom to send it to, when to send
+//! it again and what to tell the caller. [`Intake`] is the inbound side: what
+//! to hand to the target, when, and what may be said about it.
+
+mod attempt;
+mod breaker;
+mod budget;
+mod call;
+mod fair;
+mod fence;
+mod gate;
+mod hedge;
+mod intake;
+mod latency;
+mod outcome;
+mod picker;
+mod recent;
+mod table;
+mod window;
+
+pub use attempt::{AttemptId, Claim, Head, IdempotencyKey};
+pub use breaker::{Breaker, Generation};
+pub use budget::Budget;
+pub use call::{
+    Action as CallAction, Call, Event as CallEvent, Final, Known, Pick, Terms, Verdict,
+};
+pub use gate::{Entry, Gate, Load, Refusal, Settled, Ticket};
+pub use hedge::Hedge;
+pub use intake::{Action as IntakeAction, Claimed, Ended, Intake, Reply};
+pub use latency::Latency;
+pub use outcome::{Outcome, Point, Retry};
+pub use picker::{Choice, Endpoint, Locality, Picker, Strategy};
+pub use table::{Plan, Routes};
+pub use window::Window;
--- /dev/null
+++ b/crates/medlarpoint_routing/src/outcome.rs
@@ -0,0 +1,157 @@
+//! What may be said of a call, and whether it may be sent again.
+
+/// What is known of a call that got no ordinary answer.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    strum::Display,
+    strum::EnumString,
+    strum::EnumIter,
+    strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Outcome {
+    /// The target ran it.
+    Ran,
+    /// No byte of it was handed to a target, and none will be.
+    NotRun,
+    /// It may have run, be running, or never have arrived.
+    Unknown,
+}
+
+/// Whether an attempt may be followed by another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Retry {
+    /// Always: nothing ran.
+    Allowed,
+    /// Only on a route declared repeatable.
+    IfRepeatable,
+    /// The inbound proxy is asked first; it fences an attempt it never saw.
+    AfterQuery,
+    /// Never.
+    Never,
+}
+
+/// Where on its way an attempt failed.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    strum::Display,
+    strum::EnumString,
+    strum::EnumIter,
+    strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Point {
+    /// No target of the service can take the call.
+    NoTarget,
+    /// No connection to the inbound proxy.
+    Connect,
+    /// The connection broke before an answer began.
+    Sent,
+    /// The connection went silent before an answer began.
+    Silent,
+    /// The answer broke off.
+    HalfAnswer,
+    /// The inbound proxy refused before handing anything over.
+    Refused,
+    /// The attempt reached a later run of the inbound proxy.
+    Restarted,
+    /// The inbound proxy could not connect to the target.
+    TargetConnect,
+    /// The target was lost after bytes were handed over.
+    TargetLost,
+    /// The claim of the idempotency key could not be made.
+    ClaimFailed,
+    /// The key is claimed by an inbound proxy that is gone.
+    ClaimOrphaned,
+    /// The caller's request body broke off.
+    CallerBody,
+    /// The deadline passed with an attempt outstanding.
+    Deadline,
+}
+
+impl Point {
+    /// Returns what is known of an attempt that failed here.
+    pub fn outcome(self) -> Outcome {
+        match self {
+            Self::NoTarget
+            | Self::Connect
+            | Self::Refused
+            | Self::Restarted
+            | Self::TargetConnect
+            | Self::ClaimFailed => Outcome::NotRun,
+            Self::HalfAnswer => Outcome::Ran,
+            Self::Sent
+            | Self::Silent
+            | Self::TargetLost
+            | Self::ClaimOrphaned
+            | Self::CallerBody
+            | Self::Deadline => Outcome::Unknown,
+        }
+    }
+
+    /// Returns whether the call may be sent again.
+    pub fn retry(self) -> Retry {
+        match self {
+            Self::Connect
+            | Self::Refused
+            | Self::Restarted
+            | Self::TargetConnect
+            | Self::ClaimFailed => Retry::Allowed,
+            Self::Sent | Self::Silent => Retry::AfterQuery,
+            Self::TargetLost => Retry::IfRepeatable,
+            Self::NoTarget
+            | Self::HalfAnswer
+            | Self::ClaimOrphaned
+            | Self::CallerBody
+            | Self::Deadline => Retry::Never,
+        }
+    }
+
+    /// Returns the reason for the outcome and the rule for retries.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Self::NoTarget => "nothing was sent; the caller is told when to come back",
+            Self::Connect => "no byte left this process",
+            Self::Sent => "bytes may have arrived; only the inbound proxy can tell",
+            Self::Silent => "something between the two ends may have lost the connection",
+            Self::HalfAnswer => {
+                "part of the answer has gone to the caller and cannot be taken back"
+            }
+            Self::Refused => "only an inbound proxy that handed nothing over refuses",
+            Self::Restarted => "the attempt names the run it was meant for; this run never saw it",
+            Self::TargetConnect => "no byte was handed to the target",
+            Self::TargetLost => "the target may have acted before it was lost",
+            Self::ClaimFailed => "nothing is handed over without the claim",
+            Self::ClaimOrphaned => "the holder may have run it before it went",
+            Self::CallerBody => "the target may have acted on the part it got",
+            Self::Deadline => "an attempt is still outstanding; the caller is answered at once",
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use strum::IntoEnumIterator;
+
+    use super::{Outcome, Point, Retry};
+
+    #[test]
+    fn only_what_did_not_run_is_retried_without_asking() {
+        for point in Point::iter() {
+            if point.retry() == Retry::Allowed {
+                assert_eq!(point.outcome(), Outcome::NotRun, "{point}");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/medlarpoint_routing/src/table.rs
@@ -0,0 +1,174 @@
+//! Finds the route of a call.
+
+use std::sync::Arc;
+
+use http::{HeaderMap, Method};
+use indexmap::IndexMap;
+use medlarpoint_model::{Policy, Route, Snapshot};
+
+/// A route with the policy of its service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// The route.
+    pub route: Route,
+    /// Policy of the route's service.
+    pub policy: Arc<Policy>,
+}
+
+/// The routes of one version, indexed by host.
+///
+/// Invariant: within a host, plans are in order of preference.
+#[derive(Clone, Debug, Default)]
+pub struct Routes {
+    by_host: IndexMap<String, Vec<Arc<Plan>>>,
+    any_host: Vec<Arc<Plan>>,
+}
+
+impl Routes {
+    /// Compiles the routes of a version.
+    pub fn compile(snapshot: &Snapshot) -> Self {
+        let default = Arc::new(Policy::default());
+        let mut routes = Self::default();
+        for route in snapshot.routes() {
+            let policy = snapshot
+                .service(&route.service)
+                .and_then(|s| s.policy.as_ref());
+            let policy = policy.and_then(|name| snapshot.policy(name));
+            let policy = policy.map_or_else(|| Arc::clone(&default), |p| Arc::new(p.clone()));
+            let plan = Arc::new(Plan {
+                route: route.clone(),
+                policy,
+            });
+            match &route.matcher.host {
+                Some(host) => {
+                    routes
+                        .by_host
+                        .entry(host.to_ascii_lowercase())
+                        .or_default()
+                        .push(plan);
+                }
+                None => routes.any_host.push(plan),
+            }
+        }
+        routes.by_host.values_mut().for_each(|plans| sort(plans));
+        sort(&mut routes.any_host);
+        routes
+    }
+
+    /// Returns the most specific route that matches.
+    pub fn find(
+        &self,
+        host: Option<&str>,
+        method: &Method,
+        path: &str,
+        headers: &HeaderMap,
+    ) -> Option<&Arc<Plan>> {
+        let host = host.map(strip_port).map(str::to_ascii_lowercase);
+        let exact = host.and_then(|host| self.by_host.get(&host));
+        let candidates = exact.into_iter().flatten().chain(&self.any_host);
+        candidates
+            .into_iter()
+            .find(|plan| matches(&plan.route, method, path, headers))
+    }
+}
+
+fn strip_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
+
+/// Longer prefixes go first, then more headers, then named methods, then name.
+fn sort(plans: &mut [Arc<Plan>]) {
+    plans.sort_by_key(|plan| {
+        let matcher = &plan.route.matcher;
+        let prefix = matcher.path_prefix.as_ref().map_or(0, String::len);
+        let headers = matcher.headers.len();
+        let methods = u8::from(!matcher.methods.is_empty());
+        (
+            std::cmp::Reverse((prefix, headers, methods)),
+            plan.route.name.clone(),
+        )
+    });
+}
+
+fn matches(route: &Route, method: &Method, path: &str, headers: &HeaderMap) -> bool {
+    let matcher = &route.matcher;
+    let method_fits =
+        matcher.methods.is_empty() || matcher.methods.iter().any(|m| m == method.as_str());
+    let path_fits = matcher
+        .path_prefix
+        .as_ref()
+        .is_none_or(|prefix| has_prefix(path, prefix));
+    let header_fits = |(name, value): (&String, &String)| {
+        headers
+            .get(name)
+            .is_some_and(|found| found.as_bytes() == value.as_bytes())
+    };
+    method_fits && path_fits && matcher.headers.iter().all(header_fits)
+}
+
+fn has_prefix(path: &str, prefix: &str) -> bool {
+    let prefix = prefix.trim_end_matches('/');
+    let Some(rest) = path.strip_prefix(prefix) else {
+        return false;
+    };
+    rest.is_empty() || rest.starts_with('/')
+}
+
+#[cfg(test)]
+mod tests {
+    use http::{HeaderMap, Method};
+    use medlarpoint_model::{Change, Document, Format, Snapshot};
+
+    use super::Routes;
+
+    const DOCUMENT: &str = r#"
+        [[service]]
+        name = "s"
+        [[route]]
+        name = "all"
+        service = "s"
+        [[route]]
+        name = "api"
+        service = "s"
+        match.path_prefix = "/api/"
+        [[route]]
+        name = "api-post"
+        service = "s"
+        match = { path_prefix = "/api/", methods = ["POST"] }
+        [[route]]
+        name = "host"
+        service = "s"
+        match = { host = "Desk.example", path_prefix = "/x" }
+        [[route]]
+        name = "paid"
+        service = "s"
+        match = { path_prefix = "/api", headers = { x-kind = "paid" } }
+    "#;
+
+    fn find(host: &str, method: &Method, path: &str, kind: Option<&str>) -> String {
+        let document = Document::parse(DOCUMENT, Format::Toml).unwrap();
+        let changes: Vec<Change> = document.resources.into_iter().map(Change::Put).collect();
+        let routes = Routes::compile(&Snapshot::empty().edit(&changes));
+        let mut headers = HeaderMap::new();
+        if let Some(kind) = kind {
+            headers.insert("x-kind", kind.parse().unwrap());
+        }
+        let plan = routes.find(Some(host), method, path, &headers);
+        plan.map(|plan| plan.route.name.to_string())
+            .unwrap_or_default()
+    }
+
+    #[test]
+    fn the_most_specific_route_wins() {
+        assert_eq!(find("a", &Method::GET, "/", None), "all");
+        assert_eq!(find("a", &Method::GET, "/apis", None), "all");
+        assert_eq!(find("a", &Method::GET, "/api", None), "api");
+        assert_eq!(find("a", &Method::POST, "/api/b", None), "api-post");
+        assert_eq!(find("a", &Method::GET, "/api/b", Some("paid")), "api");
+        assert_eq!(find("desk.EXAMPLE:80", &Method::GET, "/x/y", None), "host");
+        assert_eq!(find("desk.example", &Method::GET, "/y", None), "all");
+    }
+}
--- /dev/null
+++ b/crates/medlarpoint_standin/src/bin/medlarpoint-standin.rs
@@ -0,0 +1,178 @@
+//! Stand-ins as programs.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{Parser, Subcommand};
+use http::Method;
+use medlarpoint_model::Name;
+use medlarpoint_standin::{
+    Announcer, Faults, Kind, Ledger, Load, Pace, Phase, StoreServer, TargetOptions, TargetServer,
+};
+
+/// Stand-ins for the platform's store, targets and callers.
+#[derive(Debug, Parser)]
+#[command(name = "medlarpoint-standin", version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Runs a key-value store in memory.
+    Store {
+        /// Address to listen on.
+        #[arg(long, default_value = "127.0.0.1:7400")]
+        listen: SocketAddr,
+        /// Delay of each answer, in milliseconds.
+        #[arg(long, default_value_t = 0)]
+        delay_ms: u64,
+        /// Writes whose answer is lost, in percent.
+        #[arg(long, default_value_t = 0)]
+        lose_answers_percent: u8,
+        /// Seed of the losses.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// Runs a target and announces it to its daemon.
+    Target {
+        /// Address to listen on.
+        #[arg(long, default_value = "127.0.0.1:0")]
+        listen: SocketAddr,
+        /// Address of the daemon's API.
+        #[arg(long)]
+        api: SocketAddr,
+        /// Service of the target.
+        #[arg(long)]
+        service: Name,
+        /// Requests it runs at a time.
+        #[arg(long, default_value_t = 9)]
+        slots: u32,
+        /// Mean service time, in microseconds.
+        #[arg(long, default_value_t = 5_000)]
+        service_us: u64,
+    },
+    /// Sends requests at a constant rate and prints what became of them.
+    Caller {
+        /// Addresses of daemons.
+        #[arg(long, required = true)]
+        address: Vec<SocketAddr>,
+        /// Host that selects the route.
+        #[arg(long)]
+        host: String,
+        /// Path.
+        #[arg(long, default_value = "/")]
+        path: String,
+        /// Method.
+        #[arg(long, default_value = "GET")]
+        method: Method,
+        /// Requests per second.
+        #[arg(long, default_value_t = 10.0)]
+        rate: f64,
+        /// Duration, in seconds.
+        #[arg(long, default_value_t = 10)]
+        seconds: u64,
+        /// Whether each request carries an idempotency key.
+        #[arg(long)]
+        keyed: bool,
+    },
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match run(Arguments::parse().command).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("medlarpoint-standin: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(command: Command) -> std::io::Result<()> {
+    match command {
+        Command::Store {
+            listen,
+            delay_ms,
+            lose_answers_percent,
+            seed,
+        } => {
+            let store = StoreServer::start(listen, seed).await?;
+            store.set_faults(Faults {
+                delay_ms,
+                lose_answers_percent,
+                ..Faults::default()
+            });
+            println!("store on {}", store.address());
+            tokio::signal::ctrl_c().await?;
+            store.close();
+        }
+        Command::Target {
+            listen,
+            api,
+            service,
+            slots,
+            service_us,
+        } => {
+            let pace = Pace {
+                service: Duration::from_micros(service_us),
+                slow: 1.0,
+            };
+            let options = TargetOptions {
+                name: service.to_string(),
+                slots,
+                pace,
+                seed: 1,
+            };
+            let target = TargetServer::start(listen, options, Ledger::default()).await?;
+            println!("target of {service} on {}", target.address());
+            let announcer = Announcer::start(api, service, target.address(), slots);
+            tokio::signal::ctrl_c().await?;
+            announcer.close();
+            target.close();
+        }
+        Command::Caller {
+            address,
+            host,
+            path,
+            method,
+            rate,
+            seconds,
+            keyed,
+        } => {
+            let headers = Vec::new();
+            let kind = Kind {
+                name: "call",
+                weight: 1,
+                method,
+                path,
+                host,
+                headers,
+                keyed,
+            };
+            let duration = Duration::from_secs(seconds);
+            let load = Load {
+                addresses: address,
+                kinds: vec![kind],
+                phases: vec![Phase { duration, rate }],
+                timeout: Duration::from_secs(10),
+                seed: 1,
+                label: std::process::id().to_string(),
+            };
+            let tally = load.run().await.kind("call");
+            println!(
+                "{} requests: {} good (p50 {} us, p99 {} us), {} not run, {} unknown, {} failed",
+                tally.total(),
+                tally.good.len(),
+                tally.good.value_at_quantile(0.5),
+                tally.good.value_at_quantile(0.99),
+                tally.refused.len(),
+                tally.unknown,
+                tally.failed,
+            );
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/medlarpoint_standin/src/load.rs
@@ -0,0 +1,221 @@
+//! An open-loop caller: requests start on schedule, whatever the answers do.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use ::http::{Method, Request, Response};
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http_body_util::Full;
+use indexmap::IndexMap;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use tokio::task::JoinSet;
+
+use crate::{Http, HttpError};
+
+/// A kind of request in a load.
+#[derive(Clone, Debug)]
+pub struct Kind {
+    /// Name in the report.
+    pub name: &'static str,
+    /// Share of the requests, relative to the other kinds.
+    pub weight: u32,
+    /// Method.
+    pub method: Method,
+    /// Path.
+    pub path: String,
+    /// Host header, which selects the route.
+    pub host: String,
+    /// Further headers.
+    pub headers: Vec<(&'static str, String)>,
+    /// Whether each request gets an idempotency key.
+    pub keyed: bool,
+}
+
+/// A part of the load with a constant rate.
+#[derive(Clone, Copy, Debug)]
+pub struct Phase {
+    /// How long it lasts.
+    pub duration: Duration,
+    /// Requests per second.
+    pub rate: f64,
+}
+
+/// A load.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// Where to send the requests, in turn.
+    pub addresses: Vec<SocketAddr>,
+    /// Kinds of request.
+    pub kinds: Vec<Kind>,
+    /// The phases, one after the other.
+    pub phases: Vec<Phase>,
+    /// Longest time to wait for an answer.
+    pub timeout: Duration,
+    /// Seed of the choice of kinds and of the gaps.
+    pub seed: u64,
+    /// Prefix of the request identities.
+    pub label: String,
+}
+
+/// What became of the requests of one kind.
+#[derive(Clone, Debug)]
+pub struct Tally {
+    /// Latencies of answers with a good status, in microseconds.
+    pub good: Histogram<u64>,
+    /// Latencies of refusals that say "not run", in microseconds.
+    pub refused: Histogram<u64>,
+    /// Answers with outcome unknown.
+    pub unknown: u64,
+    /// Requests without any answer.
+    pub failed: u64,
+    /// Good answers by second since the start.
+    pub good_by_second: IndexMap<u64, u64>,
+    /// Identities of requests that were told "not run".
+    pub not_run: Vec<String>,
+    /// Identities of requests with a good answer.
+    pub ran: Vec<String>,
+}
+
+impl Default for Tally {
+    fn default() -> Self {
+        let empty = Histogram::new_with_max(600_000_000, 3).expect("valid bounds");
+        Self {
+            good: empty.clone(),
+            refused: empty,
+            unknown: 0,
+            failed: 0,
+            good_by_second: IndexMap::new(),
+            not_run: Vec::new(),
+            ran: Vec::new(),
+        }
+    }
+}
+
+impl Tally {
+    /// Returns the number of requests.
+    pub fn total(&self) -> u64 {
+        self.good.len() + self.refused.len() + self.unknown + self.failed
+    }
+
+    fn add(
+        &mut self,
+        id: String,
+        took: Duration,
+        second: u64,
+        result: &Result<Response<Bytes>, HttpError>,
+    ) {
+        let micros = took.as_micros() as u64;
+        let Ok(response) = result else {
+            self.failed += 1;
+            return;
+        };
+        if response.status().is_success() {
+            self.good.saturating_record(micros);
+            *self.good_by_second.entry(second).or_default() += 1;
+            self.ran.push(id);
+            return;
+        }
+        let outcome = response.headers().get("medlarpoint-outcome");
+        if outcome.is_some_and(|outcome| outcome == "not-run") {
+            self.refused.saturating_record(micros);
+            self.not_run.push(id);
+        } else {
+            self.unknown += 1;
+        }
+    }
+}
+
+/// What became of a load, by kind.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// The tallies.
+    pub kinds: IndexMap<&'static str, Tally>,
+}
+
+impl Report {
+    /// Returns the tally of a kind.
+    pub fn kind(&self, name: &str) -> Tally {
+        self.kinds.get(name).cloned().unwrap_or_default()
+    }
+}
+
+impl Load {
+    /// Runs the load to its end and waits for the last answers.
+    pub async fn run(self) -> Report {
+        let report = Arc::new(Mutex::new(Report::default()));
+        let http = Http::new(self.timeout);
+        let mut rng = StdRng::seed_from_u64(self.seed);
+        let start = Instant::now();
+        let mut due = Duration::ZERO;
+        let mut ends = Duration::ZERO;
+        let mut tasks = JoinSet::new();
+        let mut count = 0_usize;
+        for phase in &self.phases {
+            ends += phase.duration;
+            while due < ends {
+                // Poisson arrivals: gaps are exponentially distributed.
+                let gap = -(1.0 - rng.random::<f64>()).ln() / phase.rate;
+                due += Duration::from_secs_f64(gap);
+                tokio::time::sleep_until((start + due).into()).await;
+                let kind = self.choose(&mut rng).clone();
+                let address = self.addresses[count % self.addresses.len()];
+                let id = format!("{}-{}-{count}", self.label, self.seed);
+                count += 1;
+                let (http, report) = (http.clone(), Arc::clone(&report));
+                tasks.spawn(async move { one(&http, address, kind, id, start, &report).await });
+            }
+        }
+        while tasks.join_next().await.is_some() {}
+        let report = report.lock().unwrap_or_else(PoisonError::into_inner);
+        report.clone()
+    }
+
+    fn choose(&self, rng: &mut StdRng) -> &Kind {
+        let total: u32 = self.kinds.iter().map(|kind| kind.weight).sum();
+        let mut left = rng.random_range(0..total.max(1));
+        for kind in &self.kinds {
+            if left < kind.weight {
+                return kind;
+            }
+            left -= kind.weight;
+        }
+        &self.kinds[0]
+    }
+}
+
+async fn one(
+    http: &Http,
+    address: SocketAddr,
+    kind: Kind,
+    id: String,
+    start: Instant,
+    report: &Mutex<Report>,
+) {
+    let mut request = Request::builder()
+        .method(kind.method)
+        .uri(format!("http://{address}{}", kind.path))
+        .header(::http::header::HOST, kind.host)
+        .header("x-request-id", &id);
+    if kind.keyed {
+        request = request.header("idempotency-key", &id);
+    }
+    for (name, value) in kind.headers {
+        request = request.header(name, value);
+    }
+    let Ok(request) = request.body(Full::new(Bytes::new())) else {
+        return;
+    };
+    let sent = Instant::now();
+    let result = http.send(request).await;
+    let took = sent.elapsed();
+    let second = start.elapsed().as_secs();
+    let mut report = report.lock().unwrap_or_else(PoisonError::into_inner);
+    report
+        .kinds
+        .entry(kind.name)
+        .or_default()
+        .add(id, took, second, &result);
+}
--- /dev/null
+++ b/crates/medlarpoint_wire/src/datagram.rs
@@ -0,0 +1,82 @@
+//! Contents of a datagram.
+
+use medlarpoint_model::{Version, Vm};
+use serde::{Deserialize, Serialize};
+
+use crate::{Record, Summary, Tip, View};
+
+/// Facts that ride on probes and their answers.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Gossip {
+    /// Version the sender has in force.
+    #[serde(rename = "t")]
+    pub tip: Tip,
+    /// Changed records.
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    pub records: Vec<Record>,
+    /// Newest summaries known, a few at a time.
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+    pub summaries: Vec<Summary>,
+    /// Digests of the sender's member table.
+    #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
+    pub views: Vec<View>,
+}
+
+/// Content of a datagram.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Body {
+    /// Asks for an [`Body::Ack`].
+    #[serde(rename = "p")]
+    Probe {
+        /// Echoed by the answer.
+        #[serde(rename = "q")]
+        seq: u64,
+        /// Facts.
+        #[serde(rename = "g")]
+        gossip: Gossip,
+    },
+    /// Answers a [`Body::Probe`].
+    #[serde(rename = "a")]
+    Ack {
+        /// From the probe.
+        #[serde(rename = "q")]
+        seq: u64,
+        /// Facts.
+        #[serde(rename = "g")]
+        gossip: Gossip,
+    },
+    /// Asks the receiver to probe `target` on the sender's behalf.
+    #[serde(rename = "i")]
+    Indirect {
+        /// Echoed by the answer.
+        #[serde(rename = "q")]
+        seq: u64,
+        /// Member to probe.
+        #[serde(rename = "t")]
+        target: Vm,
+    },
+    /// Announces a newly applied version.
+    #[serde(rename = "n")]
+    Announce {
+        /// The version.
+        #[serde(rename = "t")]
+        tip: Tip,
+    },
+    /// Tells a reporter which version the sender has in force.
+    #[serde(rename = "r")]
+    Report {
+        /// The version.
+        #[serde(rename = "v")]
+        version: Version,
+        /// When it was applied, in milliseconds since the Unix epoch.
+        #[serde(rename = "m")]
+        at_ms: u64,
+    },
+    /// Confirms a [`Body::Report`].
+    #[serde(rename = "k")]
+    Receipt {
+        /// The version reported.
+        #[serde(rename = "v")]
+        version: Version,
+    },
+}
