--- a/crates/medlarpoint_bench/src/demo.rs
+++ b/crates/medlarpoint_bench/src/demo.rs
@@ -60,11 +60,7 @@
     demo.restart_one().await?;
     demo.settle(loads).await?;
     let fell = falls.stop().await;
-    demo.promise(
-        "no daemon moved back to an older version",
-        !fell,
-        format!("fell: {fell}"),
-    );
+    demo.promise("no daemon moved back to an older version", !fell, format!("fell: {fell}"));
     let promises = demo.promises;
     demo.fleet.close().await;
     Ok(promises)
@@ -107,10 +103,8 @@
     /// Spreads the targets of both deployments over four data centres.
     async fn populate(&mut self) -> Result<(), Failure> {
         let places = Preset::Talskrivarna.places();
-        let places: Vec<(&str, &str)> = places
-            .iter()
-            .flat_map(|(region, dcs)| dcs.iter().map(|dc| (*region, *dc)))
-            .collect();
+        let places: Vec<(&str, &str)> =
+            places.iter().flat_map(|(region, dcs)| dcs.iter().map(|dc| (*region, *dc))).collect();
         let services = [Preset::Talskrivarna, Preset::Association].map(Preset::services);
         for service in services.iter().flatten() {
             for number in 0..service.targets {
@@ -126,10 +120,7 @@
         let took = self.fleet.wait_ready().await?;
         let count = self.fleet.members.len();
         self.fleet.wait_members(count as u32).await?;
-        self.say(&format!(
-            "{count} daemons serve, {} ms after the last start",
-            took.as_millis()
-        ));
+        self.say(&format!("{count} daemons serve, {} ms after the last start", took.as_millis()));
         Ok(())
     }
 
@@ -148,11 +139,7 @@
             ));
             let held = took <= CONVERGENCE_LIMIT;
             let seen = format!("{} ms", took.as_millis());
-            self.promise(
-                "an accepted configuration is in force everywhere within 9 s",
-                held,
-                seen,
-            );
+            self.promise("an accepted configuration is in force everywhere within 9 s", held, seen);
         }
         Ok(())
     }
@@ -193,27 +180,19 @@
         let load = |preset: Preset| Load {
             addresses: self.fleet.calls_in("stockholm-1"),
             kinds: preset.kinds(),
-            phases: vec![Phase {
-                duration: LOAD_TIME,
-                rate: RATE,
-            }],
+            phases: vec![Phase { duration: LOAD_TIME, rate: RATE }],
             timeout: Duration::from_secs(12),
             seed: 7,
             label: preset.to_string(),
         };
         let presets = [Preset::Talskrivarna, Preset::Association];
-        presets
-            .into_iter()
-            .map(|preset| tokio::spawn(load(preset).run()))
-            .collect()
+        presets.into_iter().map(|preset| tokio::spawn(load(preset).run())).collect()
     }
 
     async fn refuse_bad_version(&mut self) -> Result<(), Failure> {
         let before = self.fleet.members[1].daemon()?.version();
         let (exit, version) = self.fleet.apply(1, BAD_DOCUMENT).await?;
-        self.say(&format!(
-            "a route to a missing service was refused ({exit:?}), still {version}"
-        ));
+        self.say(&format!("a route to a missing service was refused ({exit:?}), still {version}"));
         let held = exit == Exit::Invalid && version == before;
         self.promise("a bad version is refused whole", held, format!("{exit:?}"));
         Ok(())
@@ -235,16 +214,9 @@
             self.fleet.wait_version(version).await?;
             worst = worst.max(started.elapsed());
         }
-        self.say(&format!(
-            "5 changes through 5 daemons, slowest {} ms",
-            worst.as_millis()
-        ));
+        self.say(&format!("5 changes through 5 daemons, slowest {} ms", worst.as_millis()));
         let held = worst <= CONVERGENCE_LIMIT;
-        self.promise(
-            "changes spread within 9 s",
-            held,
-            format!("{} ms", worst.as_millis()),
-        );
+        self.promise("changes spread within 9 s", held, format!("{} ms", worst.as_millis()));
         Ok(())
     }
 
@@ -262,10 +234,7 @@
         tokio::time::sleep(Duration::from_secs(1)).await;
         let late = served(&self.fleet) - before;
         self.fleet.operate(index, &["drain", "--resume"]).await?;
-        self.say(&format!(
-            "archive-1 drained: {late} calls after {} s",
-            DRAIN_LIMIT.as_secs()
-        ));
+        self.say(&format!("archive-1 drained: {late} calls after {} s", DRAIN_LIMIT.as_secs()));
         let text = "a draining target gets no new work after a few seconds";
         self.promise(text, late == 0, format!("{late} calls"));
         Ok(())
@@ -273,16 +242,11 @@
 
     async fn cut_off(&mut self) -> Result<(), Failure> {
         self.fleet.cut(CUT, true)?;
-        self.say(&format!(
-            "{CUT} is cut off from the others and from the store"
-        ));
+        self.say(&format!("{CUT} is cut off from the others and from the store"));
         let load = Load {
             addresses: self.fleet.calls_in(CUT),
             kinds: vec![Preset::Association.kinds().swap_remove(0)],
-            phases: vec![Phase {
-                duration: Duration::from_secs(4),
-                rate: 50.0,
-            }],
+            phases: vec![Phase { duration: Duration::from_secs(4), rate: 50.0 }],
             timeout: Duration::from_secs(5),
             seed: 3,
             label: "cut".to_owned(),
@@ -293,55 +257,28 @@
         let (exit, version) = self.fleet.apply(0, document).await?;
         tokio::time::sleep(Duration::from_secs(1)).await;
         let behind = self.members_behind(version);
-        let cut = self
-            .fleet
-            .members
-            .iter()
-            .filter(|m| m.site.data_centre == CUT)
-            .count();
+        let cut = self.fleet.members.iter().filter(|m| m.site.data_centre == CUT).count();
         self.say(&format!(
             "{version} committed meanwhile ({exit:?}); {behind} daemons are without it"
         ));
         let text = "the others go on while one data centre is cut off";
-        self.promise(
-            text,
-            exit == Exit::Success && behind == cut,
-            format!("{behind} behind"),
-        );
-        let tally = load
-            .await
-            .unwrap_or_else(|_| Report::default())
-            .kind("availability");
+        self.promise(text, exit == Exit::Success && behind == cut, format!("{behind} behind"));
+        let tally = load.await.unwrap_or_else(|_| Report::default()).kind("availability");
         let (good, total) = (tally.good.len(), tally.total());
         self.say(&format!("callers inside {CUT}: {good} of {total} served"));
         let text = "a data centre that is cut off serves what it can";
-        self.promise(
-            text,
-            total > 0 && good * 100 >= total * 95,
-            format!("{good} of {total}"),
-        );
+        self.promise(text, total > 0 && good * 100 >= total * 95, format!("{good} of {total}"));
         self.fleet.cut(CUT, false)?;
         let took = self.fleet.wait_version(version).await?;
-        self.say(&format!(
-            "{CUT} joined again and caught up in {} ms",
-            took.as_millis()
-        ));
+        self.say(&format!("{CUT} joined again and caught up in {} ms", took.as_millis()));
         let held = took <= CONVERGENCE_LIMIT;
         let seen = format!("{} ms", took.as_millis());
-        self.promise(
-            "a data centre that joins again catches up within 9 s",
-            held,
-            seen,
-        );
+        self.promise("a data centre that joins again catches up within 9 s", held, seen);
         Ok(())
     }
 
     fn members_behind(&self, version: Version) -> usize {
-        let daemons = self
-            .fleet
-            .members
-            .iter()
-            .filter_map(|member| member.daemon.as_ref());
+        let daemons = self.fleet.members.iter().filter_map(|member| member.daemon.as_ref());
         daemons.filter(|daemon| daemon.version() < version).count()
     }
 
@@ -361,11 +298,7 @@
     }
 
     fn index_of(&self, vm: &str) -> Result<usize, Failure> {
-        let index = self
-            .fleet
-            .members
-            .iter()
-            .position(|member| member.site.vm == vm);
+        let index = self.fleet.members.iter().position(|member| member.site.vm == vm);
         index.ok_or_else(|| Failure::Down(vm.to_owned()))
     }
 
@@ -390,11 +323,7 @@
                 refused += tally.refused.len();
                 unknown += tally.unknown + tally.failed;
                 let ledger = &self.fleet.ledger;
-                false_refusals += tally
-                    .not_run
-                    .iter()
-                    .filter(|id| ledger.count(id) > 0)
-                    .count();
+                false_refusals += tally.not_run.iter().filter(|id| ledger.count(id) > 0).count();
             }
         }
         let doubled = self.fleet.ledger.doubled();
--- a/crates/medlarpoint_bench/src/fleet.rs
+++ b/crates/medlarpoint_bench/src/fleet.rs
@@ -62,19 +62,13 @@
 impl Member {
     /// Returns the daemon, which must be up.
     pub fn daemon(&self) -> Result<&Daemon, Failure> {
-        self.daemon
-            .as_ref()
-            .ok_or_else(|| Failure::Down(self.site.vm.clone()))
+        self.daemon.as_ref().ok_or_else(|| Failure::Down(self.site.vm.clone()))
     }
 }
 
 /// Writes settings for a daemon of an experiment.
 pub fn settings(site: &Site, store: SocketAddr, store_region: &str, extra: &str) -> String {
-    let Site {
-        vm,
-        data_centre,
-        region,
-    } = site;
+    let Site { vm, data_centre, region } = site;
     format!(
         r#"fleet = "bench"
 vm = "{vm}"
@@ -129,22 +123,14 @@
     /// Adds a member with a target of `service`, or without a target.
     pub async fn add(&mut self, site: Site, service: Option<Service>) -> Result<usize, Failure> {
         let daemon = self.start_daemon(&site).await?;
-        let mut member = Member {
-            site,
-            daemon: Some(daemon),
-            target: None,
-            announcer: None,
-            service: None,
-        };
+        let mut member =
+            Member { site, daemon: Some(daemon), target: None, announcer: None, service: None };
         if let Some(service) = service {
             let name: Name = service.name.parse()?;
             let options = TargetOptions {
                 name: member.site.vm.clone(),
                 slots: service.slots,
-                pace: Pace {
-                    service: service.service_time,
-                    slow: 1.0,
-                },
+                pace: Pace { service: service.service_time, slow: 1.0 },
                 seed: self.members.len() as u64,
             };
             let target = TargetServer::start(ANY, options, self.ledger.clone()).await?;
@@ -221,10 +207,7 @@
     /// Waits until every daemon has at least `version` in force.
     pub async fn wait_version(&self, version: Version) -> Result<Duration, Failure> {
         self.wait("a version to be in force", |member| {
-            member
-                .daemon
-                .as_ref()
-                .is_none_or(|daemon| daemon.version() >= version)
+            member.daemon.as_ref().is_none_or(|daemon| daemon.version() >= version)
         })
         .await
     }
@@ -233,17 +216,9 @@
     pub async fn wait_members(&self, count: u32) -> Result<Duration, Failure> {
         self.wait("every daemon to know the others", |member| {
             let known = |daemon: &Daemon| {
-                daemon
-                    .status()
-                    .data_centres
-                    .iter()
-                    .map(|place| place.live)
-                    .sum::<u32>()
+                daemon.status().data_centres.iter().map(|place| place.live).sum::<u32>()
             };
-            member
-                .daemon
-                .as_ref()
-                .is_none_or(|daemon| known(daemon) >= count)
+            member.daemon.as_ref().is_none_or(|daemon| known(daemon) >= count)
         })
         .await
     }
@@ -278,9 +253,7 @@
         let file = tempfile::Builder::new().suffix(".toml").tempfile()?;
         std::fs::write(file.path(), document)?;
         let path = file.path().display().to_string();
-        let exit = self
-            .operate(index, &["apply", "--author", "bench", "-f", &path])
-            .await?;
+        let exit = self.operate(index, &["apply", "--author", "bench", "-f", &path]).await?;
         Ok((exit, self.members[index].daemon()?.version()))
     }
 
@@ -312,11 +285,7 @@
                 continue;
             };
             let within = member.site.data_centre == data_centre;
-            let far = if within {
-                outside.clone()
-            } else {
-                inside.clone()
-            };
+            let far = if within { outside.clone() } else { inside.clone() };
             daemon.cut(if cut { far } else { HashSet::new() }, cut && within);
         }
         Ok(())
@@ -324,20 +293,13 @@
 
     /// Returns where callers connect.
     pub fn calls(&self) -> Vec<SocketAddr> {
-        self.members
-            .iter()
-            .filter_map(|m| Some(m.daemon.as_ref()?.addresses().calls))
-            .collect()
+        self.members.iter().filter_map(|m| Some(m.daemon.as_ref()?.addresses().calls)).collect()
     }
 
     /// Returns where callers of a data centre connect.
     pub fn calls_in(&self, data_centre: &str) -> Vec<SocketAddr> {
-        let near = self
-            .members
-            .iter()
-            .filter(|m| m.site.data_centre == data_centre);
-        near.filter_map(|m| Some(m.daemon.as_ref()?.addresses().calls))
-            .collect()
+        let near = self.members.iter().filter(|m| m.site.data_centre == data_centre);
+        near.filter_map(|m| Some(m.daemon.as_ref()?.addresses().calls)).collect()
     }
 
     /// Stops everything at once.
--- /dev/null
+++ b/crates/medlarpoint_bench/src/fuzz/calls.rs
@@ -0,0 +1,721 @@
+//! Outbound and inbound proxies against an oracle that counts executions.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::marker::PhantomData;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use medlarpoint_model::{Class, Name, Once, Policy, Vm};
+use medlarpoint_routing::{
+    AttemptId, Call, CallAction, CallEvent, Choice, Claim, Claimed, Ended, Final, Head,
+    IdempotencyKey, Intake, IntakeAction, Known, Pick, Point, Reply, Terms, Verdict,
+};
+use proptest::prelude::*;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+
+/// Outbound proxies in the model.
+const OUTBOUND: usize = 2;
+/// Inbound proxies in the model, each with a target.
+const INBOUND: usize = 3;
+/// Slots of a target.
+const SLOTS: u32 = 2;
+/// Idempotency keys in use.
+const KEYS: u8 = 4;
+/// Longest time a question may be under way; later answers are ignored.
+const QUERY_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A fault planted in the model to show that the oracle finds it.
+pub trait CallPlant: std::fmt::Debug + Clone + 'static {
+    /// Takes a broken connection for a proof that nothing ran.
+    const TRUST_BROKEN: bool = false;
+    /// Hands keyed calls over without a claim.
+    const SKIP_CLAIM: bool = false;
+    /// Says "not run" of a call whose target was lost.
+    const FALSE_NOT_RUN: bool = false;
+    /// Does not look at the run an attempt is meant for.
+    const IGNORE_BOOT: bool = false;
+    /// Goes on taking work while draining.
+    const IGNORE_DRAIN: bool = false;
+    /// Mixes up two answers.
+    const SWAP_ANSWERS: bool = false;
+}
+
+impl CallPlant for () {}
+
+/// The test; `P` plants a fault.
+#[derive(Debug)]
+pub struct Calls<P>(PhantomData<P>);
+
+/// A step.
+#[derive(Clone, Debug)]
+pub enum Transition {
+    Start { outbound: usize, key: Option<u8>, repeatable: bool, hedged: bool, long: bool },
+    Deliver { which: usize, again: bool },
+    Break { which: usize, arrives: bool },
+    Silence { which: usize, arrives: bool },
+    Claim { which: usize, fate: Fate },
+    Finish { which: usize, end: End },
+    Restart { inbound: usize },
+    Drain { inbound: usize, on: bool },
+    Refresh { outbound: usize },
+    Pass { ms: u16 },
+    Quiet,
+}
+
+/// What happens to the claim of a key.
+#[derive(Clone, Copy, Debug)]
+pub enum Fate {
+    Normal,
+    Down,
+    /// The record is made, but nobody learns of it.
+    Lost,
+}
+
+/// How a call ends at the target.
+#[derive(Clone, Copy, Debug)]
+pub enum End {
+    Answered,
+    Refused,
+    Broken,
+}
+
+/// Generates steps.
+#[derive(Debug)]
+pub struct Steps;
+
+impl ReferenceStateMachine for Steps {
+    type State = ();
+    type Transition = Transition;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Transition> {
+        let which = || 0..12_usize;
+        let often = |p: f64| prop::bool::weighted(p);
+        let fate =
+            prop_oneof![6 => Just(Fate::Normal), 1 => Just(Fate::Down), 1 => Just(Fate::Lost)];
+        let end =
+            prop_oneof![6 => Just(End::Answered), 1 => Just(End::Refused), 1 => Just(End::Broken)];
+        prop_oneof![
+            10 => (0..OUTBOUND, prop::option::weighted(0.5, 0..KEYS), often(0.3), often(0.5), often(0.2))
+                .prop_map(|(outbound, key, repeatable, hedged, long)| {
+                    Transition::Start { outbound, key, repeatable, hedged, long }
+                }),
+            40 => (which(), often(0.1)).prop_map(|(which, again)| Transition::Deliver { which, again }),
+            3 => (which(), any::<bool>()).prop_map(|(which, arrives)| Transition::Break { which, arrives }),
+            3 => (which(), any::<bool>()).prop_map(|(which, arrives)| Transition::Silence { which, arrives }),
+            8 => (which(), fate).prop_map(|(which, fate)| Transition::Claim { which, fate }),
+            12 => (which(), end).prop_map(|(which, end)| Transition::Finish { which, end }),
+            2 => (0..INBOUND).prop_map(|inbound| Transition::Restart { inbound }),
+            2 => (0..INBOUND, any::<bool>()).prop_map(|(inbound, on)| Transition::Drain { inbound, on }),
+            3 => (0..OUTBOUND).prop_map(|outbound| Transition::Refresh { outbound }),
+            12 => (1..700_u16).prop_map(|ms| Transition::Pass { ms }),
+            1 => Just(Transition::Quiet),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Transition) {}
+}
+
+/// What is asked for: an idempotency key, or a single request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+enum Work {
+    Keyed(IdempotencyKey),
+    Single(usize),
+}
+
+/// Counts executions and remembers what callers were told.
+#[derive(Debug, Default)]
+struct Oracle {
+    runs: HashMap<Work, u32>,
+    runs_of_request: HashMap<usize, u32>,
+    told_not_run: HashSet<usize>,
+}
+
+impl Oracle {
+    fn ran(&mut self, request: &Request) {
+        *self.runs_of_request.entry(request.number).or_default() += 1;
+        let runs = self.runs.entry(request.work).or_default();
+        *runs += 1;
+        assert!(request.repeatable || *runs <= 1, "{:?} ran twice", request.work);
+        let refused = self.told_not_run.contains(&request.number);
+        assert!(!refused, "a request ran that was told it did not");
+    }
+
+    fn told(&mut self, request: &Request, outcome: Final) {
+        if let Final::NotRun { .. } = outcome {
+            let runs = self.runs_of_request.get(&request.number).copied().unwrap_or(0);
+            assert_eq!(runs, 0, "a request that ran was told it did not");
+            self.told_not_run.insert(request.number);
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Request {
+    number: usize,
+    work: Work,
+    repeatable: bool,
+    long: bool,
+    outbound: usize,
+    deadline: Duration,
+}
+
+#[derive(Clone, Debug)]
+enum Packet {
+    /// An attempt on its way to an inbound proxy.
+    Attempt {
+        head: Head,
+        left: Duration,
+    },
+    /// What the inbound proxy says; the origin of an answer travels with it.
+    Answer {
+        verdict: Verdict,
+        origin: Option<Work>,
+    },
+    Query {
+        sent: Duration,
+        asked: Duration,
+    },
+    Known {
+        known: Known,
+        asked: Duration,
+    },
+    Cancel,
+}
+
+#[derive(Clone, Debug)]
+struct Envelope {
+    attempt: AttemptId,
+    inbound: usize,
+    packet: Packet,
+}
+
+#[derive(Debug)]
+struct Inbound {
+    boot: u64,
+    intake: Intake<Work>,
+    claiming: Vec<(AttemptId, IdempotencyKey)>,
+    running: Vec<AttemptId>,
+    arrived: HashMap<AttemptId, Duration>,
+    draining_since: Option<Duration>,
+}
+
+#[derive(Clone, Debug)]
+struct Sent {
+    request: usize,
+    inbound: usize,
+    at: Duration,
+    /// Run the attempt was meant for.
+    boot: u64,
+    /// No answer can come back.
+    mute: bool,
+}
+
+/// The system under test.
+#[derive(Debug)]
+pub struct World {
+    now: Duration,
+    requests: Vec<Request>,
+    calls: BTreeMap<usize, Call>,
+    sent: HashMap<AttemptId, Sent>,
+    inbound: Vec<Inbound>,
+    views: Vec<Vec<Choice>>,
+    network: Vec<Envelope>,
+    claims: HashMap<IdempotencyKey, (Claim, AttemptId)>,
+    oracle: Oracle,
+    attempts: u128,
+    boots: u64,
+}
+
+fn name(text: &str) -> Name {
+    text.parse().expect("a valid literal")
+}
+
+fn vm(inbound: usize) -> Vm {
+    Vm(name(&format!("vm{inbound}")))
+}
+
+fn number(vm: &Vm) -> usize {
+    vm.as_str().trim_start_matches("vm").parse().expect("a name of the model")
+}
+
+/// Chooses in order of the view, so that views decide where keys lead.
+struct Chooser<'a> {
+    view: &'a [Choice],
+    offset: usize,
+    attempts: &'a mut u128,
+}
+
+impl Pick for Chooser<'_> {
+    fn pick(&mut self, _: Duration, exclude: &[Vm]) -> Option<Choice> {
+        let turn = self.view.iter().cycle().skip(self.offset).take(self.view.len());
+        turn.into_iter().find(|choice| !exclude.contains(&choice.vm)).cloned()
+    }
+
+    fn locate(&mut self, _: Duration, vm: &Vm) -> Option<Choice> {
+        self.view.iter().find(|choice| choice.vm == *vm).cloned()
+    }
+
+    fn may_retry(&mut self) -> bool {
+        true
+    }
+
+    fn may_hedge(&mut self) -> bool {
+        true
+    }
+
+    fn attempt_id(&mut self) -> AttemptId {
+        *self.attempts += 1;
+        AttemptId(*self.attempts)
+    }
+}
+
+impl World {
+    fn new() -> Self {
+        let mut world = Self {
+            now: Duration::from_secs(100),
+            requests: Vec::new(),
+            calls: BTreeMap::new(),
+            sent: HashMap::new(),
+            inbound: Vec::new(),
+            views: vec![Vec::new(); OUTBOUND],
+            network: Vec::new(),
+            claims: HashMap::new(),
+            oracle: Oracle::default(),
+            attempts: 0,
+            boots: 0,
+        };
+        for index in 0..INBOUND {
+            let inbound = world.new_inbound(index);
+            world.inbound.push(inbound);
+        }
+        for outbound in 0..OUTBOUND {
+            world.refresh(outbound);
+        }
+        world
+    }
+
+    fn new_inbound(&mut self, index: usize) -> Inbound {
+        self.boots += 1;
+        let policy = Policy { ramp_ms: 0, queue_per_slot: 2, ..Policy::default() };
+        let mut intake = Intake::new(vm(index), self.boots, policy, self.now);
+        intake.gate_mut().set_slots(SLOTS, self.now);
+        Inbound {
+            boot: self.boots,
+            intake,
+            claiming: Vec::new(),
+            running: Vec::new(),
+            arrived: HashMap::new(),
+            draining_since: None,
+        }
+    }
+
+    fn refresh(&mut self, outbound: usize) {
+        let choice = |(index, inbound): (usize, &Inbound)| Choice {
+            vm: vm(index),
+            boot: inbound.boot,
+            address: SocketAddr::from(([127, 0, 0, 1], index as u16)),
+        };
+        self.views[outbound] = self.inbound.iter().enumerate().map(choice).collect();
+    }
+
+    fn start(&mut self, step: &Transition) {
+        let Transition::Start { outbound, key, repeatable, hedged, long } = step else {
+            return;
+        };
+        let number = self.requests.len();
+        let key = key.filter(|_| !repeatable);
+        let key = key.map(|key| IdempotencyKey::new(&name("route"), "t", &key.to_string()));
+        let deadline = self.now + Duration::from_secs(3);
+        let work = key.map_or(Work::Single(number), Work::Keyed);
+        let request = Request {
+            number,
+            work,
+            repeatable: *repeatable,
+            long: *long,
+            outbound: *outbound,
+            deadline,
+        };
+        self.requests.push(request);
+        let terms = Terms {
+            repeatable: *repeatable,
+            keyed: key.is_some(),
+            may_retry: true,
+            deadline,
+            hedge_after: hedged.then_some(Duration::from_millis(200)),
+            suspect_after: Duration::from_millis(500),
+        };
+        let mut chooser = Chooser {
+            view: &self.views[*outbound],
+            offset: offset(work),
+            attempts: &mut self.attempts,
+        };
+        let (call, actions) = Call::start(self.now, terms, &mut chooser);
+        self.calls.insert(number, call);
+        self.perform_call(number, actions);
+    }
+
+    fn event(&mut self, number: usize, event: CallEvent) {
+        let Some(call) = self.calls.get_mut(&number) else {
+            return;
+        };
+        let request = &self.requests[number];
+        let mut chooser = Chooser {
+            view: &self.views[request.outbound],
+            offset: offset(request.work),
+            attempts: &mut self.attempts,
+        };
+        let actions = call.on(self.now, event, &mut chooser);
+        self.perform_call(number, actions);
+    }
+
+    fn perform_call(&mut self, number: usize, actions: Vec<CallAction>) {
+        for action in actions {
+            match action {
+                CallAction::Send(attempt, choice) => self.send(number, attempt, &choice),
+                CallAction::Query(attempt, _) => {
+                    if let Some(sent) = self.sent.get(&attempt).cloned() {
+                        let packet = Packet::Query { sent: sent.at, asked: self.now };
+                        self.network.push(Envelope { attempt, inbound: sent.inbound, packet });
+                    }
+                }
+                CallAction::Cancel(attempt) => {
+                    if let Some(sent) = self.sent.get_mut(&attempt) {
+                        sent.mute = true;
+                        let (inbound, packet) = (sent.inbound, Packet::Cancel);
+                        self.network.push(Envelope { attempt, inbound, packet });
+                    }
+                }
+                CallAction::Finish(outcome) => {
+                    let request = &self.requests[number];
+                    self.oracle.told(request, outcome);
+                    self.calls.remove(&number);
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, number: usize, attempt: AttemptId, choice: &Choice) {
+        let request = &self.requests[number];
+        let inbound = self::number(&choice.vm);
+        let key = match request.work {
+            Work::Keyed(key) => Some(key),
+            Work::Single(_) => None,
+        };
+        let head = Head {
+            attempt,
+            boot: choice.boot,
+            class: if request.long { Class::Long } else { Class::Short },
+            tenant: name("t"),
+            weight: 1,
+            deadline: Duration::ZERO,
+            key,
+            once: Once::Store,
+        };
+        let left = request.deadline.saturating_sub(self.now);
+        let boot = choice.boot;
+        let sent = Sent { request: number, inbound, at: self.now, boot, mute: false };
+        self.sent.insert(attempt, sent);
+        self.network.push(Envelope { attempt, inbound, packet: Packet::Attempt { head, left } });
+    }
+
+    fn deliver<P: CallPlant>(&mut self, which: usize, again: bool) {
+        if which >= self.network.len() {
+            return;
+        }
+        let envelope = self.network.remove(which);
+        // An attempt is sent on one connection, so it cannot arrive twice.
+        if again && !matches!(envelope.packet, Packet::Attempt { .. }) {
+            self.network.push(envelope.clone());
+        }
+        let Envelope { attempt, inbound, packet } = envelope;
+        let now = self.now;
+        match packet {
+            Packet::Attempt { mut head, left } => {
+                head.deadline = now + left;
+                let target = &mut self.inbound[inbound];
+                if P::IGNORE_BOOT {
+                    head.boot = target.boot;
+                }
+                if P::IGNORE_DRAIN {
+                    target.intake.set_draining(false);
+                }
+                target.arrived.insert(attempt, now);
+                let actions = target.intake.arrive(now, head);
+                self.perform_intake::<P>(inbound, actions);
+            }
+            Packet::Answer { verdict, origin } => self.answer(attempt, verdict, origin),
+            Packet::Query { sent, asked } => {
+                let Some(boot) = self.sent.get(&attempt).map(|sent| sent.boot) else {
+                    return;
+                };
+                let age = asked.saturating_sub(sent);
+                let known = self.inbound[inbound].intake.query(now, attempt, boot, age);
+                let packet = Packet::Known { known, asked };
+                self.network.push(Envelope { attempt, inbound, packet });
+            }
+            Packet::Known { known, asked } => {
+                let late = now.saturating_sub(asked) > QUERY_TIMEOUT;
+                let known = if late { Known::Unreachable } else { known };
+                if let Some(sent) = self.sent.get(&attempt) {
+                    let number = sent.request;
+                    self.event(number, CallEvent::Queried(attempt, known));
+                }
+            }
+            Packet::Cancel => self.cancel::<P>(attempt, inbound),
+        }
+    }
+
+    fn answer(&mut self, attempt: AttemptId, verdict: Verdict, origin: Option<Work>) {
+        let Some(sent) = self.sent.get(&attempt) else {
+            return;
+        };
+        if sent.mute {
+            return;
+        }
+        let number = sent.request;
+        if let (Verdict::Answer, Some(origin)) = (&verdict, origin)
+            && self.calls.contains_key(&number)
+        {
+            let work = self.requests[number].work;
+            assert_eq!(origin, work, "an answer went to another request");
+        }
+        self.event(number, CallEvent::Answered(attempt, verdict));
+    }
+
+    fn cancel<P: CallPlant>(&mut self, attempt: AttemptId, inbound: usize) {
+        let now = self.now;
+        let actions = self.inbound[inbound].intake.cancel(now, attempt);
+        for action in actions {
+            if let IntakeAction::Abort { attempt } = action {
+                self.inbound[inbound].running.retain(|running| *running != attempt);
+                let ended = self.inbound[inbound].intake.ended(now, attempt, Ended::Broken);
+                self.perform_intake::<P>(inbound, ended);
+            }
+        }
+    }
+
+    fn perform_intake<P: CallPlant>(&mut self, inbound: usize, actions: Vec<IntakeAction<Work>>) {
+        for action in actions {
+            match action {
+                IntakeAction::Claim { attempt, key } => {
+                    self.inbound[inbound].claiming.push((attempt, key));
+                }
+                IntakeAction::HandOver { attempt } => self.hand_over(inbound, attempt),
+                IntakeAction::Abort { .. } => {}
+                IntakeAction::Reply { attempt, reply } => {
+                    let (verdict, origin) = verdict::<P>(reply);
+                    let packet = Packet::Answer { verdict, origin };
+                    self.network.push(Envelope { attempt, inbound, packet });
+                }
+            }
+        }
+    }
+
+    fn hand_over(&mut self, inbound: usize, attempt: AttemptId) {
+        let target = &mut self.inbound[inbound];
+        let arrived = target.arrived.get(&attempt).copied().unwrap_or_default();
+        if let Some(since) = target.draining_since {
+            assert!(arrived <= since, "a draining target got new work");
+        }
+        target.running.push(attempt);
+        assert!(target.running.len() <= SLOTS as usize, "a target got more than its slots");
+    }
+
+    fn claim<P: CallPlant>(&mut self, which: usize, fate: Fate) {
+        let mut pending = Vec::new();
+        for (index, inbound) in self.inbound.iter().enumerate() {
+            pending.extend(inbound.claiming.iter().map(|(attempt, key)| (index, *attempt, *key)));
+        }
+        let Some((index, attempt, key)) = pending.get(which % pending.len().max(1)).copied() else {
+            return;
+        };
+        let inbound = &mut self.inbound[index];
+        inbound.claiming.retain(|(other, _)| *other != attempt);
+        let mine = Claim { vm: vm(index), boot: inbound.boot };
+        let result = match fate {
+            Fate::Down => Claimed::Failed,
+            Fate::Normal | Fate::Lost => {
+                let holder = self.claims.entry(key).or_insert((mine, attempt));
+                match (fate, holder.1 == attempt) {
+                    (Fate::Lost, _) => Claimed::Failed,
+                    (_, true) => Claimed::Mine,
+                    (_, false) => Claimed::Theirs(holder.0.clone()),
+                }
+            }
+        };
+        let result = if P::SKIP_CLAIM { Claimed::Mine } else { result };
+        let actions = self.inbound[index].intake.claimed(self.now, attempt, result);
+        self.perform_intake::<P>(index, actions);
+    }
+
+    fn finish<P: CallPlant>(&mut self, which: usize, end: End) {
+        let mut running = Vec::new();
+        for (index, inbound) in self.inbound.iter().enumerate() {
+            running.extend(inbound.running.iter().map(|attempt| (index, *attempt)));
+        }
+        let Some((index, attempt)) = running.get(which % running.len().max(1)).copied() else {
+            return;
+        };
+        self.inbound[index].running.retain(|other| *other != attempt);
+        let Some(sent) = self.sent.get(&attempt).cloned() else {
+            return;
+        };
+        let request = self.requests[sent.request].clone();
+        let work =
+            if P::SWAP_ANSWERS && which % 5 == 4 { Work::Single(usize::MAX) } else { request.work };
+        let ended = match end {
+            End::Refused => Ended::NotHanded,
+            End::Answered | End::Broken => {
+                self.oracle.ran(&request);
+                let kept = matches!(work, Work::Keyed(_)).then_some(work);
+                if matches!(end, End::Answered) { Ended::Answered(kept) } else { Ended::Broken }
+            }
+        };
+        if let Ended::Answered(_) = ended {
+            let packet = Packet::Answer { verdict: Verdict::Answer, origin: Some(work) };
+            self.network.push(Envelope { attempt, inbound: index, packet });
+        }
+        let actions = self.inbound[index].intake.ended(self.now, attempt, ended);
+        self.perform_intake::<P>(index, actions);
+    }
+
+    /// Ends the connection of an attempt under way; what was sent may arrive.
+    fn cut<P: CallPlant>(&mut self, which: usize, arrives: bool, notice: bool) {
+        let mut open: Vec<AttemptId> =
+            self.sent.iter().filter(|(_, sent)| !sent.mute).map(|(id, _)| *id).collect();
+        open.sort_unstable();
+        let Some(attempt) = open.iter().rev().nth(which).copied() else {
+            return;
+        };
+        let Some(sent) = self.sent.get_mut(&attempt) else {
+            return;
+        };
+        sent.mute = true;
+        let number = sent.request;
+        if !arrives {
+            self.network.retain(|envelope| {
+                envelope.attempt != attempt || !matches!(envelope.packet, Packet::Attempt { .. })
+            });
+        }
+        if notice {
+            let point = if P::TRUST_BROKEN { Point::Connect } else { Point::Sent };
+            self.event(number, CallEvent::Failed(attempt, point));
+        }
+    }
+
+    fn restart(&mut self, index: usize) {
+        // What runs at the target goes on and ends unseen.
+        let running = std::mem::take(&mut self.inbound[index].running);
+        for attempt in running {
+            if let Some(sent) = self.sent.get_mut(&attempt) {
+                sent.mute = true;
+                let request = self.requests[sent.request].clone();
+                self.oracle.ran(&request);
+            }
+        }
+        self.inbound[index] = self.new_inbound(index);
+        for sent in self.sent.values_mut().filter(|sent| sent.inbound == index) {
+            sent.mute = true;
+        }
+    }
+
+    fn drain(&mut self, index: usize, on: bool) {
+        let inbound = &mut self.inbound[index];
+        inbound.intake.set_draining(on);
+        inbound.draining_since = match (on, inbound.draining_since) {
+            (true, Some(since)) => Some(since),
+            (true, None) => Some(self.now),
+            (false, _) => None,
+        };
+    }
+
+    fn pass<P: CallPlant>(&mut self, time: Duration) {
+        self.now += time;
+        let due: Vec<usize> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| call.wake() <= self.now)
+            .map(|(number, _)| *number)
+            .collect();
+        for number in due {
+            self.event(number, CallEvent::Wake);
+        }
+        for index in 0..INBOUND {
+            let actions = self.inbound[index].intake.sweep(self.now);
+            self.perform_intake::<P>(index, actions);
+        }
+        let overdue = self.calls.keys().any(|number| self.requests[*number].deadline < self.now);
+        assert!(!overdue, "a call is not over though its deadline has passed");
+    }
+
+    /// Everything works again: nothing may be left over.
+    fn quiet<P: CallPlant>(&mut self) {
+        for _ in 0..40 {
+            while !self.network.is_empty() {
+                self.deliver::<P>(0, false);
+            }
+            self.claim::<P>(0, Fate::Normal);
+            self.finish::<P>(0, End::Answered);
+            self.pass::<P>(Duration::from_millis(300));
+        }
+        assert!(self.calls.is_empty(), "calls are left over though all is quiet");
+        for inbound in &self.inbound {
+            let left = inbound.intake.unfinished();
+            assert_eq!(left, 0, "attempts are left over though all is quiet");
+            let load = inbound.intake.load(self.now);
+            assert_eq!((load.running, load.queued), (0, 0), "slots are left over");
+        }
+    }
+}
+
+fn offset(work: Work) -> usize {
+    match work {
+        Work::Keyed(key) => key.0 as usize % INBOUND,
+        Work::Single(number) => number % INBOUND,
+    }
+}
+
+fn verdict<P: CallPlant>(reply: Reply<Work>) -> (Verdict, Option<Work>) {
+    let retry_after = Duration::from_millis(100);
+    match reply {
+        Reply::NotRun { point, retry_after, .. } => (Verdict::NotRun { point, retry_after }, None),
+        Reply::Replay(work) => (Verdict::Answer, Some(work)),
+        Reply::Ran => (Verdict::Ran, None),
+        Reply::Unknown(Point::TargetLost) if P::FALSE_NOT_RUN => {
+            (Verdict::NotRun { point: Point::TargetConnect, retry_after }, None)
+        }
+        Reply::Unknown(point) => (Verdict::Unknown(point), None),
+        Reply::ClaimedBy(claim) => (Verdict::ClaimedBy(claim), None),
+    }
+}
+
+impl<P: CallPlant> StateMachineTest for Calls<P> {
+    type SystemUnderTest = World;
+    type Reference = Steps;
+
+    fn init_test((): &()) -> World {
+        World::new()
+    }
+
+    fn apply(mut world: World, (): &(), transition: Transition) -> World {
+        match transition {
+            Transition::Start { .. } => world.start(&transition),
+            Transition::Deliver { which, again } => world.deliver::<P>(which, again),
+            Transition::Break { which, arrives } => world.cut::<P>(which, arrives, true),
+            Transition::Silence { which, arrives } => world.cut::<P>(which, arrives, false),
+            Transition::Claim { which, fate } => world.claim::<P>(which, fate),
+            Transition::Finish { which, end } => world.finish::<P>(which, end),
+            Transition::Restart { inbound } => world.restart(inbound),
+            Transition::Drain { inbound, on } => world.drain(inbound, on),
+            Transition::Refresh { outbound } => world.refresh(outbound),
+            Transition::Pass { ms } => world.pass::<P>(Duration::from_millis(ms.into())),
+            Transition::Quiet => world.quiet::<P>(),
+        }
+        world
+    }
+}
--- a/crates/medlarpoint_bench/src/lib.rs
+++ b/crates/medlarpoint_bench/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod demo;
 mod failure;
 mod fleet;
+pub mod fuzz;
 mod preset;
 
 pub use failure::Failure;
--- a/crates/medlarpoint_bench/src/preset.rs
+++ b/crates/medlarpoint_bench/src/preset.rs
@@ -58,21 +58,16 @@
                 ("stockholm", ["stockholm-1", "stockholm-2"]),
                 ("gothenburg", ["gothenburg-1", "gothenburg-2"]),
             ],
-            Self::Association => [
-                ("pwani", ["pwani-1", "pwani-2"]),
-                ("nyasa", ["nyasa-1", "nyasa-2"]),
-            ],
+            Self::Association => {
+                [("pwani", ["pwani-1", "pwani-2"]), ("nyasa", ["nyasa-1", "nyasa-2"])]
+            }
         }
     }
 
     /// Returns the services.
     pub fn services(self) -> [Service; 3] {
-        let service = |name, targets, slots| Service {
-            name,
-            targets,
-            slots,
-            service_time: SHORT_WORK,
-        };
+        let service =
+            |name, targets, slots| Service { name, targets, slots, service_time: SHORT_WORK };
         match self {
             Self::Talskrivarna => [
                 service("archive", 5, TALSKRIVARNA_SLOTS),
--- a/crates/medlarpoint_cli/src/arguments.rs
+++ b/crates/medlarpoint_cli/src/arguments.rs
@@ -12,12 +12,7 @@
 #[command(name = "medlarpoint", version)]
 pub struct Arguments {
     /// Address of a daemon's API; any daemon will do.
-    #[arg(
-        long,
-        global = true,
-        env = "MEDLARPOINT_API",
-        default_value = "127.0.0.1:7004"
-    )]
+    #[arg(long, global = true, env = "MEDLARPOINT_API", default_value = "127.0.0.1:7004")]
     pub api: SocketAddr,
     /// Bearer token for writes.
     #[arg(long, global = true, env = "MEDLARPOINT_TOKEN", hide_env_values = true)]
--- a/crates/medlarpoint_cli/src/client.rs
+++ b/crates/medlarpoint_cli/src/client.rs
@@ -61,11 +61,7 @@
     /// Returns the exit code for it.
     pub(crate) fn exit(&self) -> Exit {
         let Self::Refused { code, status, .. } = self else {
-            return if self.is_unknown() {
-                Exit::Unknown
-            } else {
-                Exit::Failure
-            };
+            return if self.is_unknown() { Exit::Unknown } else { Exit::Failure };
         };
         match code.as_str() {
             "conflict" | "contended" => Exit::Conflict,
@@ -100,11 +96,7 @@
 impl Client {
     pub(crate) fn new(address: SocketAddr, token: Option<String>) -> Self {
         let http = HttpClient::builder(TokioExecutor::new()).build_http();
-        Self {
-            http,
-            address,
-            token,
-        }
+        Self { http, address, token }
     }
 
     pub(crate) async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, RequestError> {
@@ -116,8 +108,7 @@
         path: &str,
         wait: Duration,
     ) -> Result<T, RequestError> {
-        self.call(Method::GET, path, Bytes::new(), wait + TIMEOUT)
-            .await
+        self.call(Method::GET, path, Bytes::new(), wait + TIMEOUT).await
     }
 
     pub(crate) async fn post<B: Serialize, T: DeserializeOwned>(
@@ -144,27 +135,18 @@
         if let Some(token) = &self.token {
             request = request.header(http::header::AUTHORIZATION, format!("Bearer {token}"));
         }
-        let request = request
-            .body(Full::new(body))
-            .map_err(|e| malformed(e.to_string()))?;
+        let request = request.body(Full::new(body)).map_err(|e| malformed(e.to_string()))?;
         let exchange = async {
             let response = self.http.request(request).await.map_err(|error| {
                 if error.is_connect() {
                     let reason = error.to_string();
-                    return RequestError::Connect {
-                        address: self.address,
-                        reason,
-                    };
+                    return RequestError::Connect { address: self.address, reason };
                 }
                 RequestError::Lost(self.address)
             })?;
             let status = response.status();
-            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
-                .collect()
-                .await;
-            let body = body
-                .map_err(|_| RequestError::Lost(self.address))?
-                .to_bytes();
+            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
+            let body = body.map_err(|_| RequestError::Lost(self.address))?.to_bytes();
             Ok((status, body))
         };
         let answered = tokio::time::timeout(timeout, exchange).await;
@@ -174,10 +156,6 @@
         }
         let error: ErrorBody = serde_json::from_slice(&body).unwrap_or_default();
         let code = error.error_code.unwrap_or_default();
-        Err(RequestError::Refused {
-            status,
-            code,
-            message: error.message,
-        })
+        Err(RequestError::Refused { status, code, message: error.message })
     }
 }
--- a/crates/medlarpoint_cli/src/command.rs
+++ b/crates/medlarpoint_cli/src/command.rs
@@ -28,10 +28,7 @@
     #[error(transparent)]
     Request(#[from] RequestError),
     #[error("cannot read {path}: {reason}")]
-    Read {
-        path: String,
-        reason: std::io::Error,
-    },
+    Read { path: String, reason: std::io::Error },
     #[error("the document is faulty:\n{0}")]
     Document(String),
     #[error("{0}")]
@@ -57,16 +54,8 @@
 
 /// Runs a command; answers go to standard output, errors to standard error.
 pub async fn run(arguments: Arguments) -> Exit {
-    let Arguments {
-        api,
-        token,
-        output_format,
-        command,
-    } = arguments;
-    let session = Session {
-        client: Client::new(api, token),
-        format: output_format,
-    };
+    let Arguments { api, token, output_format, command } = arguments;
+    let session = Session { client: Client::new(api, token), format: output_format };
     match session.dispatch(command).await {
         Ok(exit) => exit,
         Err(failure) => {
@@ -82,29 +71,19 @@
 }
 
 fn now_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-        .as_millis() as u64
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
 
 fn read_document(path: &Path) -> Result<Document, Failure> {
-    let unreadable = |reason| Failure::Read {
-        path: path.display().to_string(),
-        reason,
-    };
+    let unreadable = |reason| Failure::Read { path: path.display().to_string(), reason };
     let text = if path == Path::new("-") {
         let mut text = String::new();
-        std::io::stdin()
-            .read_to_string(&mut text)
-            .map_err(unreadable)?;
+        std::io::stdin().read_to_string(&mut text).map_err(unreadable)?;
         text
     } else {
         std::fs::read_to_string(path).map_err(unreadable)?
     };
-    let json = path
-        .extension()
-        .is_some_and(|extension| extension == "json");
+    let json = path.extension().is_some_and(|extension| extension == "json");
     let format = if json { Format::Json } else { Format::Toml };
     Document::parse(&text, format).map_err(|faults| {
         let lines: Vec<String> = faults.0.iter().map(|fault| format!("  {fault}")).collect();
@@ -115,13 +94,9 @@
 impl Session {
     async fn dispatch(&self, command: Command) -> Result<Exit, Failure> {
         match command {
-            Command::Apply {
-                file,
-                author,
-                force,
-                wait,
-                commit,
-            } => self.apply(&file, author, force, wait, commit).await,
+            Command::Apply { file, author, force, wait, commit } => {
+                self.apply(&file, author, force, wait, commit).await
+            }
             Command::Get { resource } => self.get(resource).await,
             Command::Diff { file } => self.diff(&file).await,
             Command::Delete { resources, author } => self.delete(&resources, author).await,
@@ -133,25 +108,17 @@
                 self.show(&status, |s| output::status(s, now_ms(), Palette::detect()))
             }
             Command::History { limit } => {
-                let history: History = self
-                    .client
-                    .get(&format!("/v1/history?limit={limit}"))
-                    .await?;
+                let history: History =
+                    self.client.get(&format!("/v1/history?limit={limit}")).await?;
                 self.show(&history, |history| output::history(history, now_ms()))
             }
-            Command::Why {
-                resource,
-                version,
-                target,
-            } => {
+            Command::Why { resource, version, target } => {
                 let topic = match (resource, version, target) {
                     (Some(resource), _, _) => format!("resource={}", parse_key(&resource)?),
                     (_, Some(version), _) => format!("version={version}"),
                     (_, _, Some(vm)) => format!("target={vm}"),
                     _ => {
-                        return Err(Failure::Key(
-                            "name a resource, --version or --target".into(),
-                        ));
+                        return Err(Failure::Key("name a resource, --version or --target".into()));
                     }
                 };
                 let why: Why = self.client.get(&format!("/v1/why?{topic}")).await?;
@@ -197,11 +164,7 @@
         let commit = Commit {
             commit: commit.unwrap_or_else(|| CommitId(rand::random())),
             author,
-            since: if resent {
-                Version::ZERO
-            } else {
-                present.version
-            },
+            since: if resent { Version::ZERO } else { present.version },
             resent,
             edits,
         };
@@ -239,10 +202,7 @@
             if committed.unchanged {
                 format!("{}: everything already is as declared\n", committed.version)
             } else {
-                format!(
-                    "{} committed (commit {})\n",
-                    committed.version, committed.commit
-                )
+                format!("{} committed (commit {})\n", committed.version, committed.commit)
             }
         })
     }
@@ -269,11 +229,7 @@
             OutputFormat::Json => Palette::plain(),
         };
         self.show(&edits, |_| output::differences(&differences, palette))?;
-        Ok(if edits.is_empty() {
-            Exit::Success
-        } else {
-            Exit::Different
-        })
+        Ok(if edits.is_empty() { Exit::Success } else { Exit::Different })
     }
 
     async fn delete(&self, resources: &[String], author: String) -> Result<Exit, Failure> {
@@ -281,19 +237,13 @@
         let mut edits = Vec::new();
         for text in resources {
             let key = parse_key(text)?;
-            let entry = present
-                .entries
-                .iter()
-                .find(|entry| entry.resource.key() == key);
+            let entry = present.entries.iter().find(|entry| entry.resource.key() == key);
             let Some(entry) = entry else {
                 eprintln!("medlarpoint: {key} is not declared in {}", present.version);
                 return Ok(Exit::NotFound);
             };
             let expect = Expect::Changed(entry.changed);
-            edits.push(Edit {
-                change: Change::Delete(key),
-                expect,
-            });
+            edits.push(Edit { change: Change::Delete(key), expect });
         }
         let commit = Commit {
             commit: CommitId(rand::random()),
@@ -333,6 +283,5 @@
 }
 
 fn parse_key(text: &str) -> Result<Key, Failure> {
-    text.parse::<Key>()
-        .map_err(|error| Failure::Key(error.to_string()))
+    text.parse::<Key>().map_err(|error| Failure::Key(error.to_string()))
 }
--- a/crates/medlarpoint_cli/src/diff.rs
+++ b/crates/medlarpoint_cli/src/diff.rs
@@ -22,11 +22,8 @@
 }
 
 pub(crate) fn compare(document: &Document, resources: &Resources) -> Vec<Difference> {
-    let present: IndexMap<Key, &Entry> = resources
-        .entries
-        .iter()
-        .map(|entry| (entry.resource.key(), entry))
-        .collect();
+    let present: IndexMap<Key, &Entry> =
+        resources.entries.iter().map(|entry| (entry.resource.key(), entry)).collect();
     let difference = |wanted: &Resource| {
         let entry = present.get(&wanted.key()).copied();
         let relation = match entry {
@@ -34,11 +31,7 @@
             Some(entry) if entry.resource == *wanted => Relation::Same,
             Some(_) => Relation::Replace,
         };
-        Difference {
-            relation,
-            wanted: wanted.clone(),
-            present: entry.cloned(),
-        }
+        Difference { relation, wanted: wanted.clone(), present: entry.cloned() }
     };
     document.resources.iter().map(difference).collect()
 }
--- a/crates/medlarpoint_cli/src/output.rs
+++ b/crates/medlarpoint_cli/src/output.rs
@@ -19,9 +19,7 @@
 
 impl Palette {
     pub(crate) fn detect() -> Self {
-        Self {
-            on: std::io::stdout().is_terminal() && std::env::var_os("NO_COLOR").is_none(),
-        }
+        Self { on: std::io::stdout().is_terminal() && std::env::var_os("NO_COLOR").is_none() }
     }
 
     pub(crate) fn plain() -> Self {
@@ -47,10 +45,7 @@
             Resource::Service(service) => serde_json::to_value(service),
         };
         let kind = entry.resource.key().kind.to_string();
-        document
-            .entry(kind)
-            .or_default()
-            .push(value.unwrap_or_default());
+        document.entry(kind).or_default().push(value.unwrap_or_default());
     }
     let text = toml::to_string_pretty(&document).unwrap_or_default();
     format!("# {} {}\n{text}", resources.version, resources.digest)
@@ -66,10 +61,7 @@
             Relation::Replace => palette.paint(AnsiColor::Yellow, &format!("~ {key}")),
         };
         let _ = writeln!(text, "{line}");
-        let before = difference
-            .present
-            .as_ref()
-            .map(|entry| fields(&entry.resource));
+        let before = difference.present.as_ref().map(|entry| fields(&entry.resource));
         for (name, value) in fields(&difference.wanted) {
             let old = before.as_ref().and_then(|before| before.get(&name));
             if difference.relation == Relation::Replace && old != Some(&value) {
@@ -78,11 +70,7 @@
             }
         }
     }
-    if text.is_empty() {
-        "no differences\n".to_owned()
-    } else {
-        text
-    }
+    if text.is_empty() { "no differences\n".to_owned() } else { text }
 }
 
 fn fields(resource: &Resource) -> IndexMap<String, Value> {
@@ -101,11 +89,8 @@
         (Some(reason), false) => palette.paint(AnsiColor::Red, &format!("not serving: {reason}")),
         (None, false) => palette.paint(AnsiColor::Yellow, "stopping"),
     };
-    let _ = writeln!(
-        text,
-        "{} in {}: {serving}, {}",
-        status.vm, status.data_centre, status.version
-    );
+    let _ =
+        writeln!(text, "{} in {}: {serving}, {}", status.vm, status.data_centre, status.version);
     let store = match (&status.store.reason, status.store.down_since_ms) {
         (Some(reason), Some(since)) => {
             let age = age(now_ms, since);
@@ -128,17 +113,9 @@
         );
     }
     let _ = writeln!(text, "newest version: {}", status.newest);
-    let width = status
-        .data_centres
-        .iter()
-        .map(|p| p.data_centre.as_str().len())
-        .max();
+    let width = status.data_centres.iter().map(|p| p.data_centre.as_str().len()).max();
     for place in &status.data_centres {
-        let _ = writeln!(
-            text,
-            "  {}",
-            place_line(place, width.unwrap_or(0), now_ms, palette)
-        );
+        let _ = writeln!(text, "  {}", place_line(place, width.unwrap_or(0), now_ms, palette));
     }
     text
 }
@@ -149,10 +126,7 @@
         PlaceState::InForce => {
             let state = palette.paint(AnsiColor::Green, "in force  ");
             let age = age(now_ms, place.since_ms);
-            format!(
-                "{name}  {state}  {} for {age}, {} members",
-                place.version, place.live
-            )
+            format!("{name}  {state}  {} for {age}, {} members", place.version, place.live)
         }
         PlaceState::Converging => {
             let state = palette.paint(AnsiColor::Yellow, "converging");
@@ -161,9 +135,8 @@
                 place.version, place.behind, place.live,
             );
             for laggard in &place.laggards {
-                let has = laggard
-                    .applied
-                    .map_or("no report yet".to_owned(), |v| format!("has {v}"));
+                let has =
+                    laggard.applied.map_or("no report yet".to_owned(), |v| format!("has {v}"));
                 let _ = write!(line, "; {} {has}", laggard.vm);
             }
             line
@@ -171,10 +144,7 @@
         PlaceState::Unknown => {
             let state = palette.paint(AnsiColor::Red, "unknown   ");
             let silence = place.heard_ms_ago / 1_000;
-            format!(
-                "{name}  {state}  not heard of for {silence} s, had {}",
-                place.version
-            )
+            format!("{name}  {state}  not heard of for {silence} s, had {}", place.version)
         }
     }
 }
@@ -203,11 +173,7 @@
         }
         let _ = writeln!(text, "    in force: {}", reached(line));
     }
-    if text.is_empty() {
-        "no version is known here\n".to_owned()
-    } else {
-        text
-    }
+    if text.is_empty() { "no version is known here\n".to_owned() } else { text }
 }
 
 fn reached(line: &Line) -> String {
@@ -241,17 +207,10 @@
         .filter(|place| place.version < version)
         .map(|place| match place.state {
             PlaceState::Unknown => format!("{} unknown", place.data_centre),
-            _ => format!(
-                "{} {} of {} behind",
-                place.data_centre, place.behind, place.live
-            ),
+            _ => format!("{} {} of {} behind", place.data_centre, place.behind, place.live),
         })
         .collect();
     let total = status.data_centres.len();
-    let tail = if waiting.is_empty() {
-        String::new()
-    } else {
-        format!(": {}", waiting.join(", "))
-    };
+    let tail = if waiting.is_empty() { String::new() } else { format!(": {}", waiting.join(", ")) };
     format!("{version} in force in {count} of {total} data centres{tail}")
 }
--- a/crates/medlarpoint_cli/src/progress.rs
+++ b/crates/medlarpoint_cli/src/progress.rs
@@ -38,10 +38,7 @@
             print(&line);
             printed = line;
         }
-        let seen = status
-            .data_centres
-            .iter()
-            .filter(|p| p.state != PlaceState::Unknown);
+        let seen = status.data_centres.iter().filter(|p| p.state != PlaceState::Unknown);
         let open = seen.filter(|place| place.version < version).count();
         let dark = status
             .data_centres
@@ -57,11 +54,7 @@
             _ => {}
         }
         let left = deadline.saturating_duration_since(Instant::now()).min(WAIT);
-        let path = format!(
-            "/v1/status?seen={}&wait_ms={}",
-            status.change,
-            left.as_millis()
-        );
+        let path = format!("/v1/status?seen={}&wait_ms={}", status.change, left.as_millis());
         status = client.wait(&path, left).await?;
     }
 }
--- a/crates/medlarpoint_config/src/commit.rs
+++ b/crates/medlarpoint_config/src/commit.rs
@@ -97,6 +97,14 @@
     /// The store cannot be reached.
     #[error("writes are refused while the store is unavailable: {0}")]
     Unavailable(String),
+    /// The store holds an older version than is in force.
+    #[error("the store holds {stored} but {local} is in force: it is written back, try again")]
+    StoreBehind {
+        /// Version in the store.
+        stored: Version,
+        /// Version in force.
+        local: Version,
+    },
     /// The head kept moving.
     #[error("too many others commit at the moment: try again")]
     Contended,
@@ -130,6 +138,8 @@
 #[derive(Clone, Debug)]
 pub struct Attempt {
     proposal: Proposal,
+    /// Version in force where the attempt began; no older head is built on.
+    floor: Version,
     local: Arc<Snapshot>,
     head: Head,
     revision: Option<Revision>,
@@ -144,6 +154,7 @@
     pub fn new(proposal: Proposal, local: Arc<Snapshot>) -> (Self, Action) {
         let attempt = Self {
             proposal,
+            floor: local.version,
             local,
             head: Head::empty(),
             revision: None,
@@ -197,6 +208,10 @@
         if let Some(delta) = self.head.find(self.proposal.commit).cloned() {
             return committed(delta, Vec::new());
         }
+        if self.head.version < self.floor {
+            let (stored, local) = (self.head.version, self.floor);
+            return self.refuse(Refusal::StoreBehind { stored, local });
+        }
         if let Some((expected, plan)) = &self.pending
             && *expected == self.revision
         {
@@ -204,13 +219,7 @@
             return self.write_head(plan);
         }
         let since = self.proposal.since;
-        let segments = self
-            .head
-            .segments
-            .iter()
-            .copied()
-            .filter(|end| *end > since)
-            .collect();
+        let segments = self.head.segments.iter().copied().filter(|end| *end > since).collect();
         self.next_segment(segments)
     }
 
@@ -229,10 +238,7 @@
         };
         let segment = item.and_then(|item| rmp_serde::from_slice::<Segment>(&item.value).ok());
         let deltas = segment.map(|segment| segment.deltas).unwrap_or_default();
-        match deltas
-            .into_iter()
-            .find(|delta| delta.commit == self.proposal.commit)
-        {
+        match deltas.into_iter().find(|delta| delta.commit == self.proposal.commit) {
             Some(delta) => committed(delta, Vec::new()),
             None => self.next_segment(rest),
         }
@@ -289,10 +295,7 @@
         }
         let bytes = encode(&next).len();
         if bytes > MAX_STATE_BYTES {
-            return self.refuse(Refusal::TooLarge {
-                bytes,
-                limit: MAX_STATE_BYTES,
-            });
+            return self.refuse(Refusal::TooLarge { bytes, limit: MAX_STATE_BYTES });
         }
         let delta = Arc::new(Delta {
             version: next.version,
@@ -310,51 +313,27 @@
         let Some(changed) = changed else {
             return Refusal::Gone { key };
         };
-        let delta = self
-            .head
-            .deltas
-            .iter()
-            .find(|delta| delta.version == changed);
+        let delta = self.head.deltas.iter().find(|delta| delta.version == changed);
         let author = delta.map_or_else(|| "another operator".to_owned(), |d| d.author.clone());
-        Refusal::Conflict {
-            key,
-            changed,
-            author,
-        }
+        Refusal::Conflict { key, changed, author }
     }
 
     fn write(&mut self, base: Arc<Snapshot>, delta: Arc<Delta>) -> Action {
         let full = self.head.clone();
         if !full.is_full() {
             let next = full.push(Arc::clone(&delta));
-            return self.write_head(Plan {
-                base,
-                full,
-                next,
-                delta,
-                garbage: Vec::new(),
-            });
+            return self.write_head(Plan { base, full, next, delta, garbage: Vec::new() });
         }
         let (compact, garbage) = full.compact();
         let next = compact.push(Arc::clone(&delta));
-        self.write_checkpoint(Plan {
-            base,
-            full,
-            next,
-            delta,
-            garbage,
-        })
+        self.write_checkpoint(Plan { base, full, next, delta, garbage })
     }
 
     fn write_checkpoint(&mut self, plan: Plan) -> Action {
         let key = checkpoint_key(plan.base.version);
         let value = Bytes::from(encode(&plan.base));
         self.step = Step::WriteCheckpoint(plan);
-        Action::Swap {
-            key,
-            expected: Expected::Absent,
-            value,
-        }
+        Action::Swap { key, expected: Expected::Absent, value }
     }
 
     fn on_checkpoint_written(&mut self, plan: Plan, result: Result<Revision, Error>) -> Action {
@@ -368,16 +347,10 @@
 
     fn write_segment(&mut self, plan: Plan) -> Action {
         let key = segment_key(plan.full.version);
-        let segment = Segment {
-            deltas: plan.full.deltas.clone(),
-        };
+        let segment = Segment { deltas: plan.full.deltas.clone() };
         let value = Bytes::from(rmp_serde::to_vec_named(&segment).unwrap_or_default());
         self.step = Step::WriteSegment(plan);
-        Action::Swap {
-            key,
-            expected: Expected::Absent,
-            value,
-        }
+        Action::Swap { key, expected: Expected::Absent, value }
     }
 
     fn on_segment_written(&mut self, plan: Plan, result: Result<Revision, Error>) -> Action {
@@ -392,11 +365,7 @@
         let expected = self.revision.map_or(Expected::Absent, Expected::Revision);
         let value = Bytes::from(plan.next.encode());
         self.step = Step::WriteHead(plan);
-        Action::Swap {
-            key: head_key(),
-            expected,
-            value,
-        }
+        Action::Swap { key: head_key(), expected, value }
     }
 
     fn on_head_written(&mut self, plan: Plan, result: Result<Revision, Error>) -> Action {
@@ -438,7 +407,10 @@
     /// proposal may still take effect, but only on a head that has not moved,
     /// where its preconditions and its validity are those found here.
     fn refuse(&self, refusal: Refusal) -> Action {
-        let decided = !matches!(refusal, Refusal::Unavailable(_) | Refusal::Contended);
+        let decided = !matches!(
+            refusal,
+            Refusal::Unavailable(_) | Refusal::Contended | Refusal::StoreBehind { .. }
+        );
         if self.pending.is_some() || (self.proposal.resent && !decided) {
             return Action::Done(Outcome::Unknown(self.proposal.commit));
         }
--- a/crates/medlarpoint_config/src/head.rs
+++ b/crates/medlarpoint_config/src/head.rs
@@ -51,8 +51,7 @@
 }
 
 fn key(text: &str) -> Key {
-    text.parse()
-        .expect("keys are built from literals and numbers")
+    text.parse().expect("keys are built from literals and numbers")
 }
 
 /// Key of the head.
@@ -103,29 +102,20 @@
         if base.version == self.version {
             return base.digest == self.digest;
         }
-        let next = self
-            .deltas
-            .iter()
-            .find(|delta| delta.version == base.version.next());
+        let next = self.deltas.iter().find(|delta| delta.version == base.version.next());
         next.is_some_and(|delta| delta.base_digest == base.digest)
     }
 
     /// Applies the deltas that follow `base`.
     pub fn replay(&self, base: &Snapshot) -> Result<Snapshot, CorruptHead> {
         let mut current = base.clone();
-        for delta in self
-            .deltas
-            .iter()
-            .filter(|delta| delta.version > base.version)
-        {
+        for delta in self.deltas.iter().filter(|delta| delta.version > base.version) {
             current = current.apply(delta)?;
         }
         if (current.version, current.digest) == (self.version, self.digest) {
             return Ok(current);
         }
-        Err(CorruptHead::Inconsistent(Mismatch::Digest {
-            version: self.version,
-        }))
+        Err(CorruptHead::Inconsistent(Mismatch::Digest { version: self.version }))
     }
 
     /// Tells whether the deltas should move to a segment before the next commit.
--- a/crates/medlarpoint_config/src/history.rs
+++ b/crates/medlarpoint_config/src/history.rs
@@ -39,20 +39,12 @@
     /// Adds deltas that are not yet known.
     pub fn learn(&mut self, deltas: &[Arc<Delta>]) {
         for delta in deltas {
-            let place = self
-                .lines
-                .partition_point(|line| line.delta.version < delta.version);
-            let known = self
-                .lines
-                .get(place)
-                .is_some_and(|l| l.delta.version == delta.version);
+            let place = self.lines.partition_point(|line| line.delta.version < delta.version);
+            let known = self.lines.get(place).is_some_and(|l| l.delta.version == delta.version);
             if known {
                 continue;
             }
-            let line = Line {
-                delta: Arc::clone(delta),
-                in_force: IndexMap::new(),
-            };
+            let line = Line { delta: Arc::clone(delta), in_force: IndexMap::new() };
             self.lines.insert(place, line);
         }
         let excess = self.lines.len().saturating_sub(MAX_LINES);
@@ -67,13 +59,7 @@
             if line.delta.version > version || line.in_force.contains_key(place) {
                 continue;
             }
-            line.in_force.insert(
-                place.clone(),
-                InForce {
-                    seen: version,
-                    at_ms,
-                },
-            );
+            line.in_force.insert(place.clone(), InForce { seen: version, at_ms });
             news.push(line.delta.version);
         }
         news
@@ -84,10 +70,7 @@
         let deltas: Vec<Arc<Delta>> = lines.iter().map(|line| Arc::clone(&line.delta)).collect();
         self.learn(&deltas);
         for theirs in lines {
-            let ours = self
-                .lines
-                .iter_mut()
-                .find(|l| l.delta.version == theirs.delta.version);
+            let ours = self.lines.iter_mut().find(|l| l.delta.version == theirs.delta.version);
             let Some(ours) = ours else {
                 continue;
             };
--- a/crates/medlarpoint_config/src/proposal.rs
+++ b/crates/medlarpoint_config/src/proposal.rs
@@ -59,16 +59,11 @@
     /// Returns the changes that alter `base`.
     pub(crate) fn effective(&self, base: &Snapshot) -> Vec<Change> {
         let alters = |change: &Change| match change {
-            Change::Put(resource) => base
-                .entries
-                .get(&resource.key())
-                .is_none_or(|e| e.resource != *resource),
+            Change::Put(resource) => {
+                base.entries.get(&resource.key()).is_none_or(|e| e.resource != *resource)
+            }
             Change::Delete(key) => base.entries.contains_key(key),
         };
-        self.edits
-            .iter()
-            .map(|edit| edit.change.clone())
-            .filter(alters)
-            .collect()
+        self.edits.iter().map(|edit| edit.change.clone()).filter(alters).collect()
     }
 }
--- a/crates/medlarpoint_config/src/replica.rs
+++ b/crates/medlarpoint_config/src/replica.rs
@@ -59,10 +59,7 @@
 
 impl Default for Replica {
     fn default() -> Self {
-        Self {
-            current: Arc::new(Snapshot::empty()),
-            recent: VecDeque::new(),
-        }
+        Self { current: Arc::new(Snapshot::empty()), recent: VecDeque::new() }
     }
 }
 
@@ -74,10 +71,7 @@
 
     /// Returns number and digest of the version in force.
     pub fn tip(&self) -> Tip {
-        Tip {
-            version: self.current.version,
-            digest: self.current.digest,
-        }
+        Tip { version: self.current.version, digest: self.current.digest }
     }
 
     /// Answers a peer.
@@ -126,9 +120,7 @@
         if head.version == self.current.version {
             return Ok(Offer::Nothing);
         }
-        let next = head.replay(base).map_err(|_| Mismatch::Digest {
-            version: head.version,
-        })?;
+        let next = head.replay(base).map_err(|_| Mismatch::Digest { version: head.version })?;
         let next = next.verify()?;
         self.recent = head.deltas.iter().cloned().collect();
         self.current = Arc::new(next);
@@ -137,11 +129,8 @@
 
     fn offer_chain(&mut self, deltas: &[Arc<Delta>]) -> Result<Offer, Rejection> {
         let base = self.current.version;
-        let newer: Vec<Arc<Delta>> = deltas
-            .iter()
-            .filter(|delta| delta.version > base)
-            .cloned()
-            .collect();
+        let newer: Vec<Arc<Delta>> =
+            deltas.iter().filter(|delta| delta.version > base).cloned().collect();
         if newer.is_empty() {
             return Ok(Offer::Nothing);
         }
@@ -169,17 +158,10 @@
     fn check_order(&self, version: Version, digest: Digest) -> Result<(), Rejection> {
         let current = self.tip();
         if version < current.version {
-            return Err(Rejection::Older {
-                offered: version,
-                current: current.version,
-            });
+            return Err(Rejection::Older { offered: version, current: current.version });
         }
         if version == current.version && digest != current.digest {
-            return Err(Rejection::Fork {
-                version,
-                offered: digest,
-                current: current.digest,
-            });
+            return Err(Rejection::Fork { version, offered: digest, current: current.digest });
         }
         Ok(())
     }
--- a/crates/medlarpoint_config/src/restore.rs
+++ b/crates/medlarpoint_config/src/restore.rs
@@ -31,12 +31,7 @@
     /// Starts to write `local` back if the head is older.
     pub fn new(local: Arc<Snapshot>) -> (Self, Action) {
         let head = Head::empty();
-        let restore = Self {
-            local,
-            head,
-            revision: None,
-            step: Step::ReadHead,
-        };
+        let restore = Self { local, head, revision: None, step: Step::ReadHead };
         (restore, Action::Get(head_key()))
     }
 
--- a/crates/medlarpoint_config/src/spread.rs
+++ b/crates/medlarpoint_config/src/spread.rs
@@ -72,8 +72,7 @@
     /// Notes the version in force and forgets peers that have nothing newer.
     pub fn applied(&mut self, tip: Tip) {
         self.have = tip;
-        self.candidates
-            .retain(|_, candidate| candidate.tip.version > tip.version);
+        self.candidates.retain(|_, candidate| candidate.tip.version > tip.version);
     }
 
     /// Notes that a peer has `tip` in force. `order` is this daemon's place
@@ -83,11 +82,7 @@
             return;
         }
         let not_before = now + delay(distance, order);
-        let candidate = Candidate {
-            tip,
-            distance,
-            not_before,
-        };
+        let candidate = Candidate { tip, distance, not_before };
         if let Some(known) = self.candidates.get_mut(peer) {
             known.tip = known.tip.max(tip);
             return;
@@ -97,9 +92,7 @@
             return;
         }
         let farthest = self.candidates.iter().max_by_key(|(_, c)| c.distance);
-        let Some(key) = farthest
-            .filter(|(_, c)| c.distance > distance)
-            .map(|(k, _)| k.clone())
+        let Some(key) = farthest.filter(|(_, c)| c.distance > distance).map(|(k, _)| k.clone())
         else {
             return;
         };
@@ -123,20 +116,13 @@
         let ready = self.candidates.iter().filter(|(_, c)| c.not_before <= now);
         let (peer, _) = ready.min_by_key(|(_, c)| (c.distance, c.not_before))?;
         let peer = peer.clone();
-        self.flight = Some(Flight {
-            peer: peer.clone(),
-            deadline: now + PULL_TIMEOUT,
-        });
+        self.flight = Some(Flight { peer: peer.clone(), deadline: now + PULL_TIMEOUT });
         Some(peer)
     }
 
     /// Notes the end of a pull.
     pub fn finished(&mut self, now: Duration, peer: &Vm, success: bool) {
-        if self
-            .flight
-            .as_ref()
-            .is_some_and(|flight| flight.peer == *peer)
-        {
+        if self.flight.as_ref().is_some_and(|flight| flight.peer == *peer) {
             self.flight = None;
         }
         if success {
@@ -145,9 +131,7 @@
         }
         // The peer is heard of again with its next probe.
         self.candidates.swap_remove(peer);
-        let wait = BACKOFF
-            .saturating_mul(1 << self.failures.min(8))
-            .min(MAX_BACKOFF);
+        let wait = BACKOFF.saturating_mul(1 << self.failures.min(8)).min(MAX_BACKOFF);
         self.failures += 1;
         if self.candidates.is_empty() {
             self.not_before = now + wait;
--- a/crates/medlarpoint_daemon/src/api.rs
+++ b/crates/medlarpoint_daemon/src/api.rs
@@ -78,11 +78,7 @@
             return Ok(());
         }
         let message = "writes are taken from this machine only: set api.token_file".to_owned();
-        return Err(client_error(
-            "forbidden",
-            ClientErrorStatusCode::FORBIDDEN,
-            message,
-        ));
+        return Err(client_error("forbidden", ClientErrorStatusCode::FORBIDDEN, message));
     };
     let given = request.request.headers().get(http::header::AUTHORIZATION);
     let given = given.and_then(|value| value.as_bytes().strip_prefix(b"Bearer "));
@@ -90,11 +86,7 @@
         return Ok(());
     }
     let message = "writes need the bearer token of this fleet".to_owned();
-    Err(client_error(
-        "unauthorized",
-        ClientErrorStatusCode::UNAUTHORIZED,
-        message,
-    ))
+    Err(client_error("unauthorized", ClientErrorStatusCode::UNAUTHORIZED, message))
 }
 
 impl From<CommitError> for HttpError {
@@ -107,20 +99,16 @@
                     client_error("conflict", conflict, message)
                 }
                 Refusal::Contended => client_error("contended", conflict, message),
-                Refusal::Invalid(_) => client_error(
-                    "invalid",
-                    ClientErrorStatusCode::UNPROCESSABLE_ENTITY,
-                    message,
-                ),
-                Refusal::TooLarge { .. } => client_error(
-                    "too-large",
-                    ClientErrorStatusCode::PAYLOAD_TOO_LARGE,
-                    message,
-                ),
+                Refusal::Invalid(_) => {
+                    client_error("invalid", ClientErrorStatusCode::UNPROCESSABLE_ENTITY, message)
+                }
+                Refusal::TooLarge { .. } => {
+                    client_error("too-large", ClientErrorStatusCode::PAYLOAD_TOO_LARGE, message)
+                }
                 Refusal::Unavailable(_) => unavailable("store-unavailable", message),
+                Refusal::StoreBehind { .. } => unavailable("store-behind", message),
                 Refusal::Corrupt(_) => unavailable("store-corrupt", message),
             },
-            CommitError::StoreBehind => unavailable("store-behind", message),
             CommitError::Unknown(_) => unavailable("unknown-outcome", message),
         }
     }
@@ -144,9 +132,7 @@
 ) -> Result<HttpResponseOk<Committed>, HttpError> {
     authorize(&request)?;
     let commit = body.into_inner();
-    Ok(HttpResponseOk(
-        commit::commit(&request.context().driver, &commit).await?,
-    ))
+    Ok(HttpResponseOk(commit::commit(&request.context().driver, &commit).await?))
 }
 
 /// List the resources in force.
@@ -167,18 +153,11 @@
     named: Path<Named>,
 ) -> Result<HttpResponseOk<Resources>, HttpError> {
     let named = named.into_inner();
-    let key = Key {
-        kind: named.kind,
-        name: named.name,
-    };
+    let key = Key { kind: named.kind, name: named.name };
     let found = resources(&request, |other| *other == key);
     if found.entries.is_empty() {
         let message = format!("{key} is not declared in {}", found.version);
-        return Err(client_error(
-            "not-found",
-            ClientErrorStatusCode::NOT_FOUND,
-            message,
-        ));
+        return Err(client_error("not-found", ClientErrorStatusCode::NOT_FOUND, message));
     }
     Ok(HttpResponseOk(found))
 }
@@ -188,11 +167,7 @@
     let snapshot = &in_force.snapshot;
     let entries = snapshot.entries.iter().filter(|(key, _)| wanted(key));
     let entries: Vec<Entry> = entries.map(|(_, entry)| entry.clone()).collect();
-    Resources {
-        version: snapshot.version,
-        digest: snapshot.digest,
-        entries,
-    }
+    Resources { version: snapshot.version, digest: snapshot.digest, entries }
 }
 
 /// Describe the fleet as this daemon sees it, at once or after a change.
@@ -204,10 +179,7 @@
     let shared = request.context().driver.shared();
     let waiting = waiting.into_inner();
     if let Some(seen) = waiting.seen {
-        let wait = waiting
-            .wait_ms
-            .map_or(MAX_WAIT, Duration::from_millis)
-            .min(MAX_WAIT);
+        let wait = waiting.wait_ms.map_or(MAX_WAIT, Duration::from_millis).min(MAX_WAIT);
         let mut changes = shared.changes.subscribe();
         // Without a change in time, the present status is the answer.
         let _ = tokio::time::timeout(wait, changes.wait_for(|count| *count != seen)).await;
@@ -222,10 +194,7 @@
     limit: Query<Limit>,
 ) -> Result<HttpResponseOk<History>, HttpError> {
     let limit = limit.into_inner().limit.unwrap_or(DEFAULT_HISTORY);
-    Ok(HttpResponseOk(view::history(
-        request.context().driver.shared(),
-        limit as usize,
-    )))
+    Ok(HttpResponseOk(view::history(request.context().driver.shared(), limit as usize)))
 }
 
 /// Explain a resource, a version or a target.
@@ -238,24 +207,14 @@
     let bad =
         |message: String| client_error("bad-topic", ClientErrorStatusCode::BAD_REQUEST, message);
     let why = match topic.into_inner() {
-        Topic {
-            resource: Some(text),
-            version: None,
-            target: None,
-        } => {
+        Topic { resource: Some(text), version: None, target: None } => {
             let key: Key = text.parse().map_err(|e| bad(format!("{e}")))?;
             explain::resource(shared, key)
         }
-        Topic {
-            resource: None,
-            version: Some(version),
-            target: None,
-        } => explain::version(shared, version),
-        Topic {
-            resource: None,
-            version: None,
-            target: Some(vm),
-        } => explain::target(shared, &vm),
+        Topic { resource: None, version: Some(version), target: None } => {
+            explain::version(shared, version)
+        }
+        Topic { resource: None, version: None, target: Some(vm) } => explain::target(shared, &vm),
         _ => return Err(bad("name one of resource, version and target".to_owned())),
     };
     Ok(HttpResponseOk(why))
@@ -270,11 +229,7 @@
     authorize(&request)?;
     let driver = &request.context().driver;
     target::announce(driver, body.into_inner()).map_err(|error| {
-        client_error(
-            "invalid",
-            ClientErrorStatusCode::UNPROCESSABLE_ENTITY,
-            error.to_string(),
-        )
+        client_error("invalid", ClientErrorStatusCode::UNPROCESSABLE_ENTITY, error.to_string())
     })?;
     Ok(HttpResponseOk(view::status(driver.shared())))
 }
@@ -288,11 +243,7 @@
     authorize(&request)?;
     let driver = &request.context().driver;
     target::drain(driver, body.into_inner().draining).map_err(|error| {
-        client_error(
-            "no-target",
-            ClientErrorStatusCode::CONFLICT,
-            error.to_string(),
-        )
+        client_error("no-target", ClientErrorStatusCode::CONFLICT, error.to_string())
     })?;
     Ok(HttpResponseOk(view::status(driver.shared())))
 }
@@ -302,9 +253,7 @@
 async fn get_traffic(
     request: RequestContext<Context>,
 ) -> Result<HttpResponseOk<Reading>, HttpError> {
-    Ok(HttpResponseOk(
-        request.context().driver.shared().traffic.read(),
-    ))
+    Ok(HttpResponseOk(request.context().driver.shared().traffic.read()))
 }
 
 /// Metrics in the text format of Prometheus.
@@ -312,11 +261,7 @@
 async fn get_metrics(
     request: RequestContext<Context>,
 ) -> Result<Response<dropshot::Body>, HttpError> {
-    let text = request
-        .context()
-        .metrics
-        .as_ref()
-        .map(PrometheusHandle::render);
+    let text = request.context().metrics.as_ref().map(PrometheusHandle::render);
     let response = Response::builder()
         .header(http::header::CONTENT_TYPE, "text/plain; version=0.0.4")
         .body(text.unwrap_or_default().into());
--- a/crates/medlarpoint_daemon/src/body.rs
+++ b/crates/medlarpoint_daemon/src/body.rs
@@ -76,19 +76,11 @@
             finish.complete();
             return Self::empty();
         }
-        Self::Passing {
-            incoming,
-            pace: None,
-            finish: Some(finish),
-        }
+        Self::Passing { incoming, pace: None, finish: Some(finish) }
     }
 
     pub(crate) fn paced(incoming: Incoming, pace: Pace) -> Self {
-        Self::Passing {
-            incoming,
-            pace: Some(pace),
-            finish: None,
-        }
+        Self::Passing { incoming, pace: Some(pace), finish: None }
     }
 }
 
@@ -102,11 +94,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match &mut *self {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            Self::Passing {
-                incoming,
-                pace,
-                finish,
-            } => {
+            Self::Passing { incoming, pace, finish } => {
                 if let Some(pace) = pace
                     && incoming.is_end_stream()
                 {
--- a/crates/medlarpoint_daemon/src/clock.rs
+++ b/crates/medlarpoint_daemon/src/clock.rs
@@ -11,9 +11,7 @@
 impl Clock {
     /// Starts the monotonic clock.
     pub(crate) fn start() -> Self {
-        Self {
-            start: Instant::now(),
-        }
+        Self { start: Instant::now() }
     }
 
     /// Returns the time since the start.
@@ -29,10 +27,7 @@
 
 /// Returns the wall-clock time, in milliseconds since the Unix epoch.
 pub(crate) fn wall_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-        .as_millis() as u64
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
 
 /// Returns a random time up to `limit`, which spreads out those who wait for
--- a/crates/medlarpoint_daemon/src/commit.rs
+++ b/crates/medlarpoint_daemon/src/commit.rs
@@ -27,8 +27,6 @@
     Refused(#[from] Refusal),
     #[error("it is not known whether commit {0} took effect: resend it with the same id")]
     Unknown(CommitId),
-    #[error("the store is behind what is in force here: a reader is writing it back, try again")]
-    StoreBehind,
 }
 
 fn proposal(commit: &Commit) -> Proposal {
@@ -60,38 +58,20 @@
             let version = delta.version;
             shared.emit(&Event::Committed { version, author });
             metrics::counter!("medlarpoint_commits_total", "result" => "committed").increment(1);
-            if version <= shared.version() && delta.digest != shared.tip().digest {
-                // The newer version in force here stays; the store is put right first.
-                if version == shared.version() {
-                    return Err(CommitError::StoreBehind);
-                }
-            }
             enforce(driver, delta).await;
             collect(shared, garbage).await;
-            Ok(Committed {
-                version,
-                commit: request.commit,
-                unchanged: false,
-            })
+            Ok(Committed { version, commit: request.commit, unchanged: false })
+        }
+        Outcome::Unchanged(version) => {
+            Ok(Committed { version, commit: request.commit, unchanged: true })
         }
-        Outcome::Unchanged(version) => Ok(Committed {
-            version,
-            commit: request.commit,
-            unchanged: true,
-        }),
         Outcome::Refused(refusal) => {
-            shared.emit(&Event::CommitRefused {
-                author,
-                reason: refusal.to_string(),
-            });
+            shared.emit(&Event::CommitRefused { author, reason: refusal.to_string() });
             metrics::counter!("medlarpoint_commits_total", "result" => "refused").increment(1);
             Err(refusal.into())
         }
         Outcome::Unknown(id) => {
-            shared.emit(&Event::CommitUnknown {
-                author,
-                commit: id.to_string(),
-            });
+            shared.emit(&Event::CommitUnknown { author, commit: id.to_string() });
             metrics::counter!("medlarpoint_commits_total", "result" => "unknown").increment(1);
             Err(CommitError::Unknown(id))
         }
@@ -146,10 +126,7 @@
 async fn collect(shared: &Shared, garbage: Vec<Key>) {
     for key in garbage {
         if let Ok(Some(item)) = shared.store.get(&key).await {
-            let _ = shared
-                .store
-                .delete(&key, Expected::Revision(item.revision))
-                .await;
+            let _ = shared.store.delete(&key, Expected::Revision(item.revision)).await;
         }
     }
 }
--- a/crates/medlarpoint_daemon/src/control.rs
+++ b/crates/medlarpoint_daemon/src/control.rs
@@ -95,9 +95,7 @@
                 let mut control = lock(&self.shared.control);
                 let now = self.shared.now();
                 let peer = control.spreader.next(now);
-                let record = peer
-                    .as_ref()
-                    .and_then(|vm| control.detector.table().get(vm));
+                let record = peer.as_ref().and_then(|vm| control.detector.table().get(vm));
                 let record = record.map(|member| member.record.clone());
                 if let (Some(vm), None) = (&peer, &record) {
                     control.spreader.finished(now, vm, false);
@@ -125,17 +123,12 @@
             Ok(update) => self.offer(record.vm.as_str(), update),
             Err(error) => {
                 let reason = error.to_string();
-                self.shared.emit(&Event::PullFailed {
-                    vm: record.vm.clone(),
-                    reason,
-                });
+                self.shared.emit(&Event::PullFailed { vm: record.vm.clone(), reason });
                 false
             }
         };
         let now = self.shared.now();
-        lock(&self.shared.control)
-            .spreader
-            .finished(now, &record.vm, success);
+        lock(&self.shared.control).spreader.finished(now, &record.vm, success);
     }
 
     /// Applies what a peer answered.
@@ -157,10 +150,7 @@
             Ok(Offer::Nothing) => return true,
             Err(reason) => {
                 control.last_rejection = Some((wall_ms(), reason.clone()));
-                self.shared.emit(&Event::Rejected {
-                    from: from.to_owned(),
-                    reason,
-                });
+                self.shared.emit(&Event::Rejected { from: from.to_owned(), reason });
                 return false;
             }
         };
@@ -177,10 +167,7 @@
         let tip = control.replica.tip();
         control.detector.set_tip(tip);
         control.spreader.applied(tip);
-        self.shared.emit(&Event::Applied {
-            version,
-            from: from.to_owned(),
-        });
+        self.shared.emit(&Event::Applied { version, from: from.to_owned() });
         metrics::counter!("medlarpoint_versions_applied_total").increment(1);
         metrics::gauge!("medlarpoint_version").set(version.0 as f64);
         self.refresh_policy();
@@ -191,17 +178,12 @@
 
     /// Gives the inbound proxy the policy of its target's service.
     pub(crate) fn refresh_policy(&self) {
-        let service = lock(&self.shared.target)
-            .as_ref()
-            .map(|target| target.service.clone());
+        let service = lock(&self.shared.target).as_ref().map(|target| target.service.clone());
         let Some(service) = service else {
             return;
         };
         let in_force = self.shared.in_force.load();
-        let policy = in_force
-            .snapshot
-            .service(&service)
-            .and_then(|s| s.policy.as_ref());
+        let policy = in_force.snapshot.service(&service).and_then(|s| s.policy.as_ref());
         let policy = policy.and_then(|name| in_force.snapshot.policy(name));
         let policy = policy.cloned().unwrap_or_default();
         lock(&self.shared.intake).gate_mut().set_policy(policy);
@@ -212,14 +194,9 @@
     fn announce(&self, control: &Control, tip: Tip) {
         let me = control.detector.me();
         let table = control.detector.table();
-        let near: Vec<&Record> = table
-            .live_in(&me.data_centre)
-            .filter(|r| r.vm != me.vm)
-            .collect();
-        let mut told: Vec<SocketAddr> = near
-            .sample(&mut rand::rng(), ANNOUNCE_FANOUT)
-            .map(|record| record.peer)
-            .collect();
+        let near: Vec<&Record> = table.live_in(&me.data_centre).filter(|r| r.vm != me.vm).collect();
+        let mut told: Vec<SocketAddr> =
+            near.sample(&mut rand::rng(), ANNOUNCE_FANOUT).map(|record| record.peer).collect();
         if Self::order(control, Role::Relay) != Order::Rest {
             for place in table.data_centres() {
                 let other = table.live_in(&place).next();
@@ -230,10 +207,7 @@
             }
         }
         if Self::order(control, Role::Gateway) != Order::Rest {
-            for region in regions(control)
-                .into_iter()
-                .filter(|region| *region != me.region)
-            {
+            for region in regions(control).into_iter().filter(|region| *region != me.region) {
                 let members = table.live().filter(|record| record.region == region);
                 told.extend(holders(members, Role::Gateway));
             }
@@ -252,11 +226,9 @@
                 let members = table.live().filter(|record| record.region == me.region);
                 rank(role, &me.vm, members.map(|record| &record.vm))
             }
-            Role::Relay | Role::Reader | Role::Reporter => rank(
-                role,
-                &me.vm,
-                table.live_in(&me.data_centre).map(|record| &record.vm),
-            ),
+            Role::Relay | Role::Reader | Role::Reporter => {
+                rank(role, &me.vm, table.live_in(&me.data_centre).map(|record| &record.vm))
+            }
         };
         match place {
             0 => Order::First,
@@ -269,19 +241,14 @@
         let actions = {
             let mut control = lock(&self.shared.control);
             let now = self.shared.now();
-            let actions = control
-                .detector
-                .receive(now, &frame.from, from, &frame.body);
+            let actions = control.detector.receive(now, &frame.from, from, &frame.body);
             self.after(&mut control);
             match &frame.body {
                 Body::Probe { gossip, .. } | Body::Ack { gossip, .. } => {
                     self.heard(&mut control, &frame.from, gossip);
                 }
                 Body::Announce { tip } => {
-                    let gossip = Gossip {
-                        tip: *tip,
-                        ..Gossip::default()
-                    };
+                    let gossip = Gossip { tip: *tip, ..Gossip::default() };
                     self.heard(&mut control, &frame.from, &gossip);
                 }
                 Body::Report { version, at_ms } => {
@@ -311,9 +278,7 @@
             Distance::Remote => Self::order(control, Role::Gateway),
         };
         let now = self.shared.now();
-        control
-            .spreader
-            .heard(now, from, gossip.tip, distance, order);
+        control.spreader.heard(now, from, gossip.tip, distance, order);
         self.shared.pull.notify_one();
     }
 
@@ -334,18 +299,13 @@
                     let place = &summary.data_centre;
                     let (version, since) = (summary.version, summary.since_ms);
                     if !control.history.reached(place, version, since).is_empty() {
-                        let event = Event::InForce {
-                            data_centre: place.clone(),
-                            version,
-                        };
+                        let event = Event::InForce { data_centre: place.clone(), version };
                         self.shared.emit(&event);
                     }
                     self.shared.changed();
                 }
                 MemberEvent::Paused(gap) => {
-                    self.shared.emit(&Event::Paused {
-                        ms: gap.as_millis(),
-                    });
+                    self.shared.emit(&Event::Paused { ms: gap.as_millis() });
                 }
             }
         }
@@ -363,15 +323,9 @@
         let now = self.shared.now();
         let version = control.replica.current().version;
         let place = control.detector.me().data_centre.clone();
-        let live = control
-            .detector
-            .table()
-            .live_in(&place)
-            .map(|record| &record.vm);
-        let reporters: Vec<Vm> = ranked(Role::Reporter, live, ROLE_HOLDERS)
-            .into_iter()
-            .cloned()
-            .collect();
+        let live = control.detector.table().live_in(&place).map(|record| &record.vm);
+        let reporters: Vec<Vm> =
+            ranked(Role::Reporter, live, ROLE_HOLDERS).into_iter().cloned().collect();
         let me = control.detector.me().vm.clone();
         let at_ms = control.applied_ms;
         for vm in control.reporter.due(now, version, &reporters) {
@@ -398,9 +352,7 @@
         let place: DataCentre = control.detector.me().data_centre.clone();
         let newest = control.replica.current().version;
         let warm = now.saturating_sub(since) >= REPORTER_WARMUP;
-        let Control {
-            detector, reporter, ..
-        } = control;
+        let Control { detector, reporter, .. } = control;
         let live = detector.table().live_in(&place);
         let Some(summary) = reporter.summary(&place, live, newest, wall_ms()) else {
             return;
@@ -479,9 +431,7 @@
         }
         // A datagram that cannot be sent is like one that is lost.
         if self.socket.try_send_to(&bytes, to).is_ok() {
-            self.shared
-                .traffic
-                .sent(self.shared.distance_of(control, to), bytes.len());
+            self.shared.traffic.sent(self.shared.distance_of(control, to), bytes.len());
         }
     }
 
@@ -499,9 +449,7 @@
             }
         }
         self.shared.ready.store(true, Ordering::Release);
-        self.shared.emit(&Event::Ready {
-            version: self.shared.version(),
-        });
+        self.shared.emit(&Event::Ready { version: self.shared.version() });
         self.shared.changed();
     }
 }
@@ -509,20 +457,12 @@
 fn holders<'a>(members: impl Iterator<Item = &'a Record>, role: Role) -> Vec<SocketAddr> {
     let members: Vec<&Record> = members.collect();
     let chosen = ranked(role, members.iter().map(|record| &record.vm), ROLE_HOLDERS);
-    members
-        .iter()
-        .filter(|r| chosen.contains(&&r.vm))
-        .map(|record| record.peer)
-        .collect()
+    members.iter().filter(|r| chosen.contains(&&r.vm)).map(|record| record.peer).collect()
 }
 
 fn regions(control: &Control) -> Vec<Region> {
-    let mut regions: Vec<Region> = control
-        .detector
-        .table()
-        .live()
-        .map(|record| record.region.clone())
-        .collect();
+    let mut regions: Vec<Region> =
+        control.detector.table().live().map(|record| record.region.clone()).collect();
     regions.sort_unstable();
     regions.dedup();
     regions
--- a/crates/medlarpoint_daemon/src/cuts.rs
+++ b/crates/medlarpoint_daemon/src/cuts.rs
@@ -16,10 +16,7 @@
     /// Replaces the unreachable addresses.
     pub(crate) fn set(&self, addresses: HashSet<SocketAddr>) {
         self.any.store(!addresses.is_empty(), Ordering::Release);
-        *self
-            .addresses
-            .write()
-            .unwrap_or_else(PoisonError::into_inner) = addresses;
+        *self.addresses.write().unwrap_or_else(PoisonError::into_inner) = addresses;
     }
 
     /// Tells whether an address is cut off.
@@ -27,10 +24,7 @@
         if !self.any.load(Ordering::Acquire) {
             return false;
         }
-        let addresses = self
-            .addresses
-            .read()
-            .unwrap_or_else(PoisonError::into_inner);
+        let addresses = self.addresses.read().unwrap_or_else(PoisonError::into_inner);
         addresses.contains(&address)
     }
 }
--- a/crates/medlarpoint_daemon/src/daemon.rs
+++ b/crates/medlarpoint_daemon/src/daemon.rs
@@ -78,19 +78,13 @@
 
 impl std::fmt::Debug for Daemon {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Daemon")
-            .field("addresses", &self.addresses)
-            .finish_non_exhaustive()
+        f.debug_struct("Daemon").field("addresses", &self.addresses).finish_non_exhaustive()
     }
 }
 
 async fn listen(key: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
     let bound = TcpListener::bind(address).await;
-    bound.map_err(|reason| StartError::Listen {
-        key,
-        address,
-        reason,
-    })
+    bound.map_err(|reason| StartError::Listen { key, address, reason })
 }
 
 /// Binds the peer address for TCP and UDP, which share a port.
@@ -99,21 +93,14 @@
     let mut tries = 0;
     loop {
         let tcp = listen(key, address).await?;
-        let bound = tcp.local_addr().map_err(|reason| StartError::Listen {
-            key,
-            address,
-            reason,
-        })?;
+        let bound =
+            tcp.local_addr().map_err(|reason| StartError::Listen { key, address, reason })?;
         match UdpSocket::bind(bound).await {
             Ok(udp) => return Ok((tcp, udp)),
             // With a port of the system's choice, the next one may be free.
             Err(_) if address.port() == 0 && tries < 20 => tries += 1,
             Err(reason) => {
-                return Err(StartError::Listen {
-                    key,
-                    address,
-                    reason,
-                });
+                return Err(StartError::Listen { key, address, reason });
             }
         }
     }
@@ -152,11 +139,7 @@
             peer: addresses.peer,
             api: addresses.api,
         });
-        Ok(Self {
-            driver,
-            addresses,
-            api,
-        })
+        Ok(Self { driver, addresses, api })
     }
 
     /// Returns the addresses.
@@ -305,10 +288,7 @@
     address: SocketAddr,
 ) -> Result<HttpServer<api::Context>, StartError> {
     let description = api::description().map_err(|e| StartError::Api(e.to_string()))?;
-    let context = api::Context {
-        driver: Arc::clone(driver),
-        metrics,
-    };
+    let context = api::Context { driver: Arc::clone(driver), metrics };
     // Its own log lines would repeat ours in another shape.
     let log = slog::Logger::root(slog::Discard, slog::o!());
     let config = ConfigDropshot {
@@ -317,9 +297,7 @@
         default_handler_task_mode: HandlerTaskMode::Detached,
         ..ConfigDropshot::default()
     };
-    let server = ServerBuilder::new(description, context, log)
-        .config(config)
-        .start();
+    let server = ServerBuilder::new(description, context, log).config(config).start();
     server.map_err(|error| StartError::Api(error.to_string()))
 }
 
@@ -330,11 +308,7 @@
     tokio::spawn(Arc::clone(driver).pull());
     tokio::spawn(peer::serve(Arc::clone(shared), peer));
     tokio::spawn(server::serve(Arc::clone(shared), calls, Listener::Calls));
-    tokio::spawn(server::serve(
-        Arc::clone(shared),
-        inbound,
-        Listener::Inbound,
-    ));
+    tokio::spawn(server::serve(Arc::clone(shared), inbound, Listener::Inbound));
     tokio::spawn(reader::watch_head(Arc::clone(driver)));
     tokio::spawn(reader::keep_contacts(Arc::clone(shared)));
     tokio::spawn(startup::catch_up(Arc::clone(driver)));
--- a/crates/medlarpoint_daemon/src/explain.rs
+++ b/crates/medlarpoint_daemon/src/explain.rs
@@ -7,20 +7,12 @@
 use crate::state::{Control, Shared, lock};
 
 fn finding(kind: &str, text: String) -> Finding {
-    Finding {
-        kind: kind.to_owned(),
-        text,
-    }
+    Finding { kind: kind.to_owned(), text }
 }
 
 fn why(shared: &Shared, resource: Option<Key>, findings: Vec<Finding>) -> Why {
     let vm = shared.settings.options.vm.clone();
-    Why {
-        vm,
-        version: shared.version(),
-        resource,
-        findings,
-    }
+    Why { vm, version: shared.version(), resource, findings }
 }
 
 /// Explains why a resource is, or is not, in force here, and who serves it.
@@ -32,11 +24,7 @@
         None => findings.push(absent(&control, &key)),
         Some(entry) => {
             findings.push(present(&control, entry));
-            findings.extend(
-                service_of(entry)
-                    .iter()
-                    .flat_map(|s| targets(shared, &control, s)),
-            );
+            findings.extend(service_of(entry).iter().flat_map(|s| targets(shared, &control, s)));
         }
     }
     drop(control);
@@ -51,24 +39,15 @@
     match deleted {
         Some(line) => finding(
             "deleted",
-            format!(
-                "{key} was deleted in {} by {}",
-                line.delta.version, line.delta.author
-            ),
-        ),
-        None => finding(
-            "absent",
-            format!("{key} is not declared in the version in force here"),
+            format!("{key} was deleted in {} by {}", line.delta.version, line.delta.author),
         ),
+        None => finding("absent", format!("{key} is not declared in the version in force here")),
     }
 }
 
 fn present(control: &Control, entry: &Entry) -> Finding {
     let key = entry.resource.key();
-    let line = control
-        .history
-        .lines()
-        .find(|line| line.delta.version == entry.changed);
+    let line = control.history.lines().find(|line| line.delta.version == entry.changed);
     let text = match line {
         Some(line) => format!(
             "{key} is as {} committed it in {} at {} ms (commit {})",
@@ -88,21 +67,11 @@
 }
 
 fn targets(shared: &Shared, control: &Control, service: &Name) -> Vec<Finding> {
-    let serves = |record: &&Record| {
-        record
-            .target
-            .as_ref()
-            .is_some_and(|target| target.service == *service)
-    };
-    let members = control
-        .detector
-        .table()
-        .members()
-        .map(|member| &member.record);
-    let found: Vec<Finding> = members
-        .filter(serves)
-        .map(|record| target_finding(shared, record))
-        .collect();
+    let serves =
+        |record: &&Record| record.target.as_ref().is_some_and(|target| target.service == *service);
+    let members = control.detector.table().members().map(|member| &member.record);
+    let found: Vec<Finding> =
+        members.filter(serves).map(|record| target_finding(shared, record)).collect();
     if found.is_empty() {
         let text = format!("no target has announced itself for {service}");
         return vec![finding("no-target", text)];
@@ -132,10 +101,7 @@
             let text = format!("{place} cannot be reached from here; tried again in {left} ms");
             finding("set-aside", text)
         }
-        None => finding(
-            "eligible",
-            format!("{place} takes calls, {} slots", target.slots),
-        ),
+        None => finding("eligible", format!("{place} takes calls, {} slots", target.slots)),
     }
 }
 
@@ -144,10 +110,7 @@
     let control = lock(&shared.control);
     let current = control.replica.current().version;
     let mut findings = Vec::new();
-    let line = control
-        .history
-        .lines()
-        .find(|line| line.delta.version == asked);
+    let line = control.history.lines().find(|line| line.delta.version == asked);
     match line {
         Some(line) => {
             let delta = &line.delta;
@@ -160,17 +123,12 @@
             );
             findings.push(finding("committed", text));
             for (place, seen) in &line.in_force {
-                let text = format!(
-                    "in force in {place} at {} ms, seen with {}",
-                    seen.at_ms, seen.seen
-                );
+                let text =
+                    format!("in force in {place} at {} ms, seen with {}", seen.at_ms, seen.seen);
                 findings.push(finding("in-force", text));
             }
         }
-        None => findings.push(finding(
-            "unknown",
-            format!("{asked} is not in the history here"),
-        )),
+        None => findings.push(finding("unknown", format!("{asked} is not in the history here"))),
     }
     let text = if asked > current {
         format!("{current} is in force here: {asked} has not arrived")
@@ -179,10 +137,7 @@
     };
     findings.push(finding("local", text));
     if let Some((at_ms, reason)) = &control.last_rejection {
-        findings.push(finding(
-            "refused",
-            format!("last refusal here, at {at_ms} ms: {reason}"),
-        ));
+        findings.push(finding("refused", format!("last refusal here, at {at_ms} ms: {reason}")));
     }
     drop(control);
     why(shared, None, findings)
@@ -195,15 +150,9 @@
         Some(member) => {
             let age = shared.now().saturating_sub(member.since).as_secs();
             let text = format!("{vm} has been {} for {age} s", member.record.status);
-            vec![
-                finding("member", text),
-                target_finding(shared, &member.record),
-            ]
+            vec![finding("member", text), target_finding(shared, &member.record)]
         }
-        None => vec![finding(
-            "unknown",
-            format!("{vm} is not a member known here"),
-        )],
+        None => vec![finding("unknown", format!("{vm} is not a member known here"))],
     };
     drop(control);
     why(shared, None, found)
--- a/crates/medlarpoint_daemon/src/header.rs
+++ b/crates/medlarpoint_daemon/src/header.rs
@@ -92,11 +92,7 @@
 
 /// Writes a load report.
 pub(crate) fn set_load(headers: &mut HeaderMap, load: Load) {
-    set(
-        headers,
-        LOAD,
-        &format!("{},{},{}", load.running, load.queued, load.slots),
-    );
+    set(headers, LOAD, &format!("{},{},{}", load.running, load.queued, load.slots));
 }
 
 /// Reads a load report.
@@ -104,9 +100,5 @@
     let text = headers.get(&LOAD)?.to_str().ok()?;
     let mut parts = text.split(',').map(str::parse::<u32>);
     let mut next = || parts.next()?.ok();
-    Some(Load {
-        running: next()?,
-        queued: next()?,
-        slots: next()?,
-    })
+    Some(Load { running: next()?, queued: next()?, slots: next()? })
 }
--- a/crates/medlarpoint_daemon/src/inbound.rs
+++ b/crates/medlarpoint_daemon/src/inbound.rs
@@ -167,20 +167,13 @@
         return Claimed::Failed;
     };
     let vm = shared.settings.options.vm.clone();
-    let record = ClaimRecord {
-        vm,
-        boot: shared.boot,
-        attempt: attempt.to_string(),
-    };
+    let record = ClaimRecord { vm, boot: shared.boot, attempt: attempt.to_string() };
     let Ok(value) = rmp_serde::to_vec_named(&record) else {
         return Claimed::Failed;
     };
     for _ in 0..CLAIM_LOOKUPS {
         let value = Bytes::from(value.clone());
-        let written = shared
-            .store
-            .swap(&key, Expected::Absent, value, Some(CLAIM_LEASE))
-            .await;
+        let written = shared.store.swap(&key, Expected::Absent, value, Some(CLAIM_LEASE)).await;
         match written {
             Ok(_) => return Claimed::Mine,
             // Another holds it, or an earlier try of ours got through.
@@ -199,10 +192,7 @@
 fn owner(value: &[u8], attempt: &str) -> Claimed {
     match rmp_serde::from_slice::<ClaimRecord>(value) {
         Ok(record) if record.attempt == attempt => Claimed::Mine,
-        Ok(record) => Claimed::Theirs(Claim {
-            vm: record.vm,
-            boot: record.boot,
-        }),
+        Ok(record) => Claimed::Theirs(Claim { vm: record.vm, boot: record.boot }),
         Err(_) => Claimed::Failed,
     }
 }
@@ -275,17 +265,10 @@
     let class = known.map_or(Class::Short, |route| route.class);
     let once = known.map_or(Once::Store, |route| route.once);
     let repeatable = headers.get(&header::RETRY).is_some_and(|v| v == REPEATABLE);
-    let text = headers
-        .get(&header::IDEMPOTENCY_KEY)
-        .and_then(|v| v.to_str().ok());
+    let text = headers.get(&header::IDEMPOTENCY_KEY).and_then(|v| v.to_str().ok());
     let key = text.filter(|_| !repeatable);
     let key = key.map(|text| IdempotencyKey::new(&route, tenant.as_str(), text));
-    let weight = lock(&shared.intake)
-        .gate_mut()
-        .policy()
-        .tenant_weights
-        .get(&tenant)
-        .copied();
+    let weight = lock(&shared.intake).gate_mut().policy().tenant_weights.get(&tenant).copied();
     Ok(Head {
         attempt,
         boot,
@@ -316,28 +299,19 @@
     let attempt = head.attempt;
     let (sender, receiver) = oneshot::channel();
     lock(&shared.waiters).insert(attempt, sender);
-    let mut cancel = Cancel {
-        shared: Arc::clone(&shared),
-        attempt,
-        decision: receiver,
-        armed: true,
-    };
+    let mut cancel =
+        Cancel { shared: Arc::clone(&shared), attempt, decision: receiver, armed: true };
     let actions = {
         let now = shared.now();
         lock(&shared.intake).arrive(now, head.clone())
     };
     perform(&shared, actions);
-    let decision = (&mut cancel.decision)
-        .await
-        .unwrap_or(Signal::Reply(Reply::Unknown(Point::Sent)));
+    let decision =
+        (&mut cancel.decision).await.unwrap_or(Signal::Reply(Reply::Unknown(Point::Sent)));
     let response = match decision {
         Signal::Reply(reply) => answer(&shared, reply),
         Signal::HandOver => {
-            let job = Job {
-                shared: Arc::clone(&shared),
-                attempt,
-                done: false,
-            };
+            let job = Job { shared: Arc::clone(&shared), attempt, done: false };
             let keyed = head.key.is_some();
             let exchange = hand_over(Arc::clone(&shared), head, parts, body, job);
             if keyed {
@@ -366,11 +340,7 @@
     };
     strip(&mut parts.headers);
     let left = head.deadline.saturating_sub(shared.now());
-    header::set(
-        &mut parts.headers,
-        header::DEADLINE_MS,
-        &left.as_millis().to_string(),
-    );
+    header::set(&mut parts.headers, header::DEADLINE_MS, &left.as_millis().to_string());
     let request = Request::from_parts(parts, body);
     let exchange = shared.pool.exchange(address, request, head.key.is_none());
     let exchanged = tokio::time::timeout(left, exchange).await;
@@ -399,19 +369,13 @@
         let now = shared.now();
         lock(&shared.intake).load(now)
     };
-    let small = incoming
-        .size_hint()
-        .upper()
-        .is_some_and(|n| n <= MAX_KEPT_BYTES as u64);
+    let small = incoming.size_hint().upper().is_some_and(|n| n <= MAX_KEPT_BYTES as u64);
     let body = if head.key.is_some() && small {
         if let Ok(collected) = Limited::new(incoming, MAX_KEPT_BYTES).collect().await {
             lease.complete();
             let body = collected.to_bytes();
-            let kept = Kept {
-                status: parts.status,
-                headers: parts.headers.clone(),
-                body: body.clone(),
-            };
+            let kept =
+                Kept { status: parts.status, headers: parts.headers.clone(), body: body.clone() };
             job.end(Ended::Answered(Some(kept)));
             Body::whole(body)
         } else {
@@ -422,11 +386,7 @@
         Body::passing(incoming, Finish::Job(Box::new(job), lease))
     };
     header::set(&mut parts.headers, header::OUTCOME, Outcome::Ran.into());
-    header::set(
-        &mut parts.headers,
-        header::VM,
-        shared.settings.options.vm.as_str(),
-    );
+    header::set(&mut parts.headers, header::VM, shared.settings.options.vm.as_str());
     header::set_load(&mut parts.headers, load);
     Response::from_parts(parts, body)
 }
@@ -434,11 +394,7 @@
 fn not_handed(shared: &Arc<Shared>, job: Job) -> Response<Body> {
     job.end(Ended::NotHanded);
     let retry_after = Duration::from_millis(100);
-    let reply = Reply::NotRun {
-        point: Point::TargetConnect,
-        refusal: None,
-        retry_after,
-    };
+    let reply = Reply::NotRun { point: Point::TargetConnect, refusal: None, retry_after };
     answer(shared, reply)
 }
 
@@ -477,32 +433,18 @@
             *response.body_mut() = Body::whole(kept.body);
             (kept.status, Outcome::Ran, None)
         }
-        Reply::Ran => (
-            StatusCode::BAD_GATEWAY,
-            Outcome::Ran,
-            Some(Point::HalfAnswer),
-        ),
-        Reply::NotRun {
-            point, retry_after, ..
-        } => {
+        Reply::Ran => (StatusCode::BAD_GATEWAY, Outcome::Ran, Some(Point::HalfAnswer)),
+        Reply::NotRun { point, retry_after, .. } => {
             let wait = retry_after.as_millis().to_string();
             header::set(response.headers_mut(), header::RETRY_AFTER_MS, &wait);
-            (
-                StatusCode::SERVICE_UNAVAILABLE,
-                Outcome::NotRun,
-                Some(point),
-            )
+            (StatusCode::SERVICE_UNAVAILABLE, Outcome::NotRun, Some(point))
         }
         Reply::Unknown(point) => (StatusCode::BAD_GATEWAY, Outcome::Unknown, Some(point)),
         Reply::ClaimedBy(claim) => {
             let headers = response.headers_mut();
             header::set(headers, header::CLAIM_VM, claim.vm.as_str());
             header::set(headers, header::CLAIM_BOOT, &claim.boot.to_string());
-            (
-                StatusCode::CONFLICT,
-                Outcome::Unknown,
-                Some(Point::ClaimOrphaned),
-            )
+            (StatusCode::CONFLICT, Outcome::Unknown, Some(Point::ClaimOrphaned))
         }
     };
     *response.status_mut() = status;
@@ -519,10 +461,7 @@
 /// Connects to a target that was taken out, to see whether it is back.
 pub(crate) async fn probe_target(address: SocketAddr) -> bool {
     let connect = tokio::net::TcpStream::connect(address);
-    matches!(
-        tokio::time::timeout(Duration::from_secs(1), connect).await,
-        Ok(Ok(_))
-    )
+    matches!(tokio::time::timeout(Duration::from_secs(1), connect).await, Ok(Ok(_)))
 }
 
 /// Tells whether the target takes new work.
--- a/crates/medlarpoint_daemon/src/limit.rs
+++ b/crates/medlarpoint_daemon/src/limit.rs
@@ -36,13 +36,7 @@
 impl Pace {
     pub(crate) fn new(limit: u64, pause: Duration) -> Self {
         let timer = Box::pin(tokio::time::sleep(pause));
-        Self {
-            limit,
-            left: limit,
-            pause,
-            timer,
-            resting: false,
-        }
+        Self { limit, left: limit, pause, timer, resting: false }
     }
 
     /// Counts bytes and restarts the pause.
@@ -65,9 +59,6 @@
         if self.resting {
             return Poll::Pending;
         }
-        self.timer
-            .as_mut()
-            .poll(cx)
-            .map(|()| Exceeded::BodyPause { pause: self.pause })
+        self.timer.as_mut().poll(cx).map(|()| Exceeded::BodyPause { pause: self.pause })
     }
 }
--- a/crates/medlarpoint_daemon/src/log.rs
+++ b/crates/medlarpoint_daemon/src/log.rs
@@ -41,9 +41,7 @@
 
 impl std::fmt::Debug for Log {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Log")
-            .field("on", &self.logger.is_some())
-            .finish()
+        f.debug_struct("Log").field("on", &self.logger.is_some()).finish()
     }
 }
 
@@ -65,9 +63,7 @@
             }
         };
         let logger = Logger::builder().sink(sink).build_arc()?;
-        Ok(Self {
-            logger: Some(logger),
-        })
+        Ok(Self { logger: Some(logger) })
     }
 
     /// Writes an event.
--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -137,12 +137,7 @@
     };
     let version = in_force.snapshot.version.0.to_string();
     header::set(response.headers_mut(), header::VERSION, &version);
-    record(
-        &response,
-        tenant.as_str(),
-        class,
-        shared.now().saturating_sub(started),
-    );
+    record(&response, tenant.as_str(), class, shared.now().saturating_sub(started));
     response
 }
 
@@ -203,10 +198,7 @@
     let terms = Terms {
         repeatable: plan.route.repeatable,
         keyed: key.is_some(),
-        may_retry: parts
-            .headers
-            .get(&header::RETRY)
-            .is_none_or(|value| value != "no"),
+        may_retry: parts.headers.get(&header::RETRY).is_none_or(|value| value != "no"),
         deadline: now + own.min(asked),
         hedge_after: hedge_after(&service, &plan, replayable),
         suspect_after: SUSPECT_AFTER,
@@ -236,10 +228,7 @@
     }
     let limits = &shared.settings.options.limits;
     let pause = Duration::from_millis(limits.body_pause_ms);
-    let small = body
-        .size_hint()
-        .upper()
-        .is_some_and(|size| size <= MAX_REPLAYED_BYTES);
+    let small = body.size_hint().upper().is_some_and(|size| size <= MAX_REPLAYED_BYTES);
     let body = Body::paced(body, Pace::new(limits.body_bytes, pause));
     if !small {
         return Some(Payload::Stream(Some(body)));
@@ -302,11 +291,7 @@
         let now = self.shared.now();
         let service = Arc::clone(&self.service);
         let class = self.plan.route.class;
-        let mut chooser = Chooser {
-            service: &service,
-            class,
-            key: self.key,
-        };
+        let mut chooser = Chooser { service: &service, class, key: self.key };
         let (mut call, mut actions) = Call::start(now, self.terms, &mut chooser);
         loop {
             if let Some(outcome) = self.perform(actions) {
@@ -344,16 +329,11 @@
         };
         let Some(body) = body else {
             // The body went with an earlier attempt; nothing more can be sent.
-            let verdict = Verdict::NotRun {
-                point: Point::Refused,
-                retry_after: Duration::from_millis(100),
-            };
+            let verdict =
+                Verdict::NotRun { point: Point::Refused, retry_after: Duration::from_millis(100) };
             let event = CallEvent::Answered(attempt, verdict);
             // The receiver lives as long as this exchange.
-            let _ = self.sender.send(News {
-                event,
-                response: None,
-            });
+            let _ = self.sender.send(News { event, response: None });
             return;
         };
         let class = self.plan.route.class;
@@ -367,11 +347,7 @@
             // Nobody listens once the call is over.
             let _ = sender.send(news(attempt, exchanged));
         });
-        let running = Running {
-            task: task.abort_handle(),
-            vm: choice.vm,
-            sent: now,
-        };
+        let running = Running { task: task.abort_handle(), vm: choice.vm, sent: now };
         self.running.insert(attempt, running);
     }
 
@@ -393,21 +369,14 @@
         header::set(headers, header::BOOT, &choice.boot.to_string());
         header::set(headers, header::ROUTE, self.plan.route.name.as_str());
         header::set(headers, header::DEADLINE_MS, &left.as_millis().to_string());
-        let retry = if self.terms.repeatable {
-            inbound::REPEATABLE
-        } else {
-            "no"
-        };
+        let retry = if self.terms.repeatable { inbound::REPEATABLE } else { "no" };
         header::set(headers, header::RETRY, retry);
         request
     }
 
     fn query(&self, attempt: AttemptId, choice: &Choice) {
         let now = self.shared.now();
-        let sent = self
-            .running
-            .get(&attempt)
-            .map_or(now, |running| running.sent);
+        let sent = self.running.get(&attempt).map_or(now, |running| running.sent);
         let age = now.saturating_sub(sent);
         let mut request = Request::new(Body::empty());
         *request.uri_mut() = Uri::from_static("/");
@@ -427,10 +396,7 @@
             };
             let event = CallEvent::Queried(attempt, known);
             // Nobody listens once the call is over.
-            let _ = sender.send(News {
-                event,
-                response: None,
-            });
+            let _ = sender.send(News { event, response: None });
         });
     }
 
@@ -449,10 +415,7 @@
             return CallEvent::Wake;
         };
         let now = self.shared.now();
-        let load = news
-            .response
-            .as_ref()
-            .and_then(|r| header::load(r.response.headers()));
+        let load = news.response.as_ref().and_then(|r| header::load(r.response.headers()));
         if let CallEvent::Answered(attempt, _) | CallEvent::Failed(attempt, _) = &news.event
             && let Some(running) = self.running.get(attempt)
         {
@@ -505,10 +468,7 @@
         let (mut parts, incoming) = arrived.response.into_parts();
         header::strip_hop_by_hop(&mut parts.headers);
         parts.headers.remove(&header::LOAD);
-        Response::from_parts(
-            parts,
-            Body::passing(incoming, Finish::Connection(arrived.lease)),
-        )
+        Response::from_parts(parts, Body::passing(incoming, Finish::Connection(arrived.lease)))
     }
 }
 
@@ -516,23 +476,14 @@
     match exchanged {
         Ok((response, lease)) => {
             let event = CallEvent::Answered(attempt, verdict(response.headers()));
-            News {
-                event,
-                response: Some(Arrived {
-                    attempt,
-                    response,
-                    lease,
-                }),
-            }
+            News { event, response: Some(Arrived { attempt, response, lease }) }
+        }
+        Err(ExchangeError::Connect(_)) => {
+            News { event: CallEvent::Failed(attempt, Point::Connect), response: None }
+        }
+        Err(ExchangeError::Broken(_)) => {
+            News { event: CallEvent::Failed(attempt, Point::Sent), response: None }
         }
-        Err(ExchangeError::Connect(_)) => News {
-            event: CallEvent::Failed(attempt, Point::Connect),
-            response: None,
-        },
-        Err(ExchangeError::Broken(_)) => News {
-            event: CallEvent::Failed(attempt, Point::Sent),
-            response: None,
-        },
     }
 }
 
@@ -565,24 +516,15 @@
 /// Writes an answer that does not come from the target.
 fn told(outcome: Final) -> Response<Body> {
     let (status, outcome, point, retry_after) = match outcome {
-        Final::NotRun { point, retry_after } => (
-            StatusCode::SERVICE_UNAVAILABLE,
-            Outcome::NotRun,
-            point,
-            Some(retry_after),
-        ),
-        Final::Ran | Final::Answer(_) => (
-            StatusCode::BAD_GATEWAY,
-            Outcome::Ran,
-            Point::HalfAnswer,
-            None,
-        ),
-        Final::Unknown(Point::Deadline) => (
-            StatusCode::GATEWAY_TIMEOUT,
-            Outcome::Unknown,
-            Point::Deadline,
-            None,
-        ),
+        Final::NotRun { point, retry_after } => {
+            (StatusCode::SERVICE_UNAVAILABLE, Outcome::NotRun, point, Some(retry_after))
+        }
+        Final::Ran | Final::Answer(_) => {
+            (StatusCode::BAD_GATEWAY, Outcome::Ran, Point::HalfAnswer, None)
+        }
+        Final::Unknown(Point::Deadline) => {
+            (StatusCode::GATEWAY_TIMEOUT, Outcome::Unknown, Point::Deadline, None)
+        }
         Final::Unknown(point) => (StatusCode::BAD_GATEWAY, Outcome::Unknown, point, None),
     };
     let text = format!("{outcome} at {point}: {}\n", point.reason());
@@ -592,11 +534,7 @@
     header::set(headers, header::OUTCOME, outcome.into());
     header::set(headers, header::POINT, point.into());
     if let Some(after) = retry_after {
-        header::set(
-            headers,
-            header::RETRY_AFTER_MS,
-            &after.as_millis().to_string(),
-        );
+        header::set(headers, header::RETRY_AFTER_MS, &after.as_millis().to_string());
         let seconds = after.as_millis().div_ceil(1_000).max(1).to_string();
         header::set(headers, http::header::RETRY_AFTER, &seconds);
     }
--- a/crates/medlarpoint_daemon/src/peer.rs
+++ b/crates/medlarpoint_daemon/src/peer.rs
@@ -104,18 +104,10 @@
     let exchange = async {
         let (response, lease) = shared.pool.exchange(to, request, true).await?;
         let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_MESSAGE_BYTES)
-            .collect()
-            .await;
-        let bytes = body
-            .map_err(|e| RequestError::Body(e.to_string()))?
-            .to_bytes();
+        let body = Limited::new(response.into_body(), MAX_MESSAGE_BYTES).collect().await;
+        let bytes = body.map_err(|e| RequestError::Body(e.to_string()))?.to_bytes();
         lease.complete();
-        if status == StatusCode::OK {
-            Ok(bytes)
-        } else {
-            Err(RequestError::Status(status))
-        }
+        if status == StatusCode::OK { Ok(bytes) } else { Err(RequestError::Status(status)) }
     };
     let result = tokio::time::timeout(REQUEST_TIMEOUT, exchange).await;
     result.map_err(|_| RequestError::Timeout)?
@@ -182,10 +174,7 @@
         };
         let Ok(permit) = Arc::clone(&connections).try_acquire_owned() else {
             let listener = "peer".to_owned();
-            shared.emit(&Event::ConnectionLimit {
-                listener,
-                limit: MAX_CONNECTIONS,
-            });
+            shared.emit(&Event::ConnectionLimit { listener, limit: MAX_CONNECTIONS });
             continue;
         };
         let (shared, concurrent) = (Arc::clone(&shared), Arc::clone(&concurrent));
@@ -264,9 +253,7 @@
     let update = lock(&shared.control).replica.answer(pull);
     let bytes = encode(&update)?;
     // How far it goes is counted by the one who asked.
-    shared
-        .traffic
-        .sent(Distance::Near, bytes.len() + HEAD_BYTES);
+    shared.traffic.sent(Distance::Near, bytes.len() + HEAD_BYTES);
     Ok(bytes)
 }
 
@@ -279,9 +266,7 @@
     let reply = control.detector.sync_reply(now, request);
     services::refresh(shared, &control);
     let bytes = encode(&reply)?;
-    shared
-        .traffic
-        .sent(shared.distance(&request.from), bytes.len() + HEAD_BYTES);
+    shared.traffic.sent(shared.distance(&request.from), bytes.len() + HEAD_BYTES);
     Ok(bytes)
 }
 
--- a/crates/medlarpoint_daemon/src/pool.rs
+++ b/crates/medlarpoint_daemon/src/pool.rs
@@ -73,15 +73,8 @@
 impl Lease {
     /// Hands the connection back after a whole exchange.
     pub(crate) fn complete(self) {
-        let idle = Idle {
-            sender: self.sender,
-            heard: Instant::now(),
-        };
-        let mut pool = self
-            .pool
-            .idle
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let idle = Idle { sender: self.sender, heard: Instant::now() };
+        let mut pool = self.pool.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = pool.entry(self.address).or_default();
         if list.len() < MAX_IDLE {
             list.push(idle);
@@ -100,11 +93,7 @@
         mut request: Request<Body>,
         repeatable: bool,
     ) -> Result<(http::Response<Incoming>, Lease), ExchangeError> {
-        let trusted = if repeatable {
-            IDLE_TIME
-        } else {
-            TRUSTED_SILENCE
-        };
+        let trusted = if repeatable { IDLE_TIME } else { TRUSTED_SILENCE };
         while let Some(mut sender) = self.take(address, trusted) {
             if self.cuts.is_cut(address) {
                 // An open connection across a cut link goes silent.
@@ -135,10 +124,7 @@
         request: Request<Body>,
     ) -> Result<(http::Response<Incoming>, Lease), ExchangeError> {
         let mut sender = self.connect(address).await?;
-        let response = sender
-            .send_request(request)
-            .await
-            .map_err(ExchangeError::Broken)?;
+        let response = sender.send_request(request).await.map_err(ExchangeError::Broken)?;
         Ok((response, self.lease(address, sender)))
     }
 
@@ -177,11 +163,7 @@
     }
 
     fn lease(self: &Arc<Self>, address: SocketAddr, sender: SendRequest<Body>) -> Lease {
-        Lease {
-            pool: Arc::clone(self),
-            address,
-            sender,
-        }
+        Lease { pool: Arc::clone(self), address, sender }
     }
 }
 
--- a/crates/medlarpoint_daemon/src/reader.rs
+++ b/crates/medlarpoint_daemon/src/reader.rs
@@ -103,10 +103,7 @@
         }
         Err(ReadError::Rejected(reason)) => {
             lock(&shared.control).last_rejection = Some((wall_ms(), reason.clone()));
-            shared.emit(&Event::Rejected {
-                from: STORE.to_owned(),
-                reason,
-            });
+            shared.emit(&Event::Rejected { from: STORE.to_owned(), reason });
         }
         Err(error) => {
             note_store(shared, Some(&Error::Unavailable(error.to_string())));
@@ -169,11 +166,9 @@
 pub(crate) async fn call(shared: &Shared, action: Action) -> Reply {
     let reply = match action {
         Action::Get(key) => Reply::Got(shared.store.get(&key).await),
-        Action::Swap {
-            key,
-            expected,
-            value,
-        } => Reply::Swapped(shared.store.swap(&key, expected, value, None).await),
+        Action::Swap { key, expected, value } => {
+            Reply::Swapped(shared.store.swap(&key, expected, value, None).await)
+        }
         Action::Done(_) => Reply::Got(Ok(None)),
     };
     let error = match &reply {
@@ -193,9 +188,7 @@
     let mut control = lock(&shared.control);
     match (control.store_down.is_some(), down) {
         (false, Some(reason)) => {
-            shared.emit(&Event::StoreDown {
-                reason: reason.clone(),
-            });
+            shared.emit(&Event::StoreDown { reason: reason.clone() });
             control.store_down = Some((wall_ms(), reason));
         }
         (true, None) => {
@@ -237,11 +230,7 @@
 pub(crate) async fn keep_contacts(shared: Arc<Shared>) {
     loop {
         let young = shared.now() < YOUNG;
-        let period = if young {
-            CONTACTS_PERIOD / 10
-        } else {
-            CONTACTS_PERIOD
-        };
+        let period = if young { CONTACTS_PERIOD / 10 } else { CONTACTS_PERIOD };
         tokio::select! {
             () = tokio::time::sleep(period / 2 + jitter(period)) => {}
             () = shared.wait_closed() => return,
@@ -268,9 +257,7 @@
         let control = lock(&shared.control);
         let known: Vec<SocketAddr> = control.detector.table().live().map(|r| r.peer).collect();
         let near = &shared.settings.options.data_centre;
-        let strangers = contacts
-            .addresses(near)
-            .filter(|address| !known.contains(address));
+        let strangers = contacts.addresses(near).filter(|address| !known.contains(address));
         strangers.collect::<Vec<SocketAddr>>()
     };
     for address in strangers {
@@ -287,11 +274,7 @@
     }
     let value = Bytes::from(rmp_serde::to_vec_named(&contacts).unwrap_or_default());
     let expected = revision.map_or(Expected::Absent, Expected::Revision);
-    shared
-        .store
-        .swap(&contacts_key(), expected, value, None)
-        .await
-        .map(|_| ())
+    shared.store.swap(&contacts_key(), expected, value, None).await.map(|_| ())
 }
 
 /// Reads the contacts.
--- a/crates/medlarpoint_daemon/src/server.rs
+++ b/crates/medlarpoint_daemon/src/server.rs
@@ -52,10 +52,7 @@
             continue;
         };
         let Ok(permit) = Arc::clone(&connections).try_acquire_owned() else {
-            shared.emit(&Event::ConnectionLimit {
-                listener: kind.to_string(),
-                limit,
-            });
+            shared.emit(&Event::ConnectionLimit { listener: kind.to_string(), limit });
             continue;
         };
         let shared = Arc::clone(&shared);
--- a/crates/medlarpoint_daemon/src/services.rs
+++ b/crates/medlarpoint_daemon/src/services.rs
@@ -23,28 +23,14 @@
 }
 
 fn endpoint(shared: &Shared, record: &Record) -> Option<(Name, Endpoint)> {
-    let target = record
-        .target
-        .as_ref()
-        .filter(|target| target.stage == Stage::Ready)?;
-    let choice = Choice {
-        vm: record.vm.clone(),
-        boot: record.boot.0,
-        address: record.inbound,
-    };
+    let target = record.target.as_ref().filter(|target| target.stage == Stage::Ready)?;
+    let choice = Choice { vm: record.vm.clone(), boot: record.boot.0, address: record.inbound };
     let locality = match shared.distance(record) {
         Distance::Near => Locality::Near,
         Distance::Region => Locality::Region,
         Distance::Remote => Locality::Remote,
     };
-    Some((
-        target.service.clone(),
-        Endpoint {
-            choice,
-            locality,
-            slots: target.slots,
-        },
-    ))
+    Some((target.service.clone(), Endpoint { choice, locality, slots: target.slots }))
 }
 
 /// Rebuilds the targets of each service from the live members.
@@ -55,15 +41,10 @@
             targets.entry(service).or_default().push(endpoint);
         }
     }
-    let mut services = shared
-        .services
-        .write()
-        .unwrap_or_else(PoisonError::into_inner);
+    let mut services = shared.services.write().unwrap_or_else(PoisonError::into_inner);
     for name in targets.keys() {
         let seed = rand::random();
-        services
-            .entry(name.clone())
-            .or_insert_with(|| Arc::new(ServiceState::new(seed)));
+        services.entry(name.clone()).or_insert_with(|| Arc::new(ServiceState::new(seed)));
     }
     for (name, state) in services.iter() {
         let endpoints = targets.swap_remove(name).unwrap_or_default();
--- a/crates/medlarpoint_daemon/src/settings.rs
+++ b/crates/medlarpoint_daemon/src/settings.rs
@@ -150,10 +150,7 @@
 
 impl Default for MembershipOptions {
     fn default() -> Self {
-        Self {
-            period_ms: 1_000,
-            suspicion_ms: 3_000,
-        }
+        Self { period_ms: 1_000, suspicion_ms: 3_000 }
     }
 }
 
@@ -206,13 +203,8 @@
     pub fn parse(text: &str) -> Result<Self, InvalidSettings> {
         toml::from_str(text).map_err(|error| {
             let start = error.span().map_or(0, |span| span.start);
-            let line = text
-                .get(..start)
-                .map_or(1, |before| before.matches('\n').count() + 1);
-            InvalidSettings::Malformed {
-                line,
-                message: error.message().to_owned(),
-            }
+            let line = text.get(..start).map_or(1, |before| before.matches('\n').count() + 1);
+            InvalidSettings::Malformed { line, message: error.message().to_owned() }
         })
     }
 
@@ -231,50 +223,17 @@
             }
         }
         if self.store.endpoints.is_empty() {
-            return Err(value(
-                "store.endpoints",
-                "is empty: name at least one server",
-            ));
+            return Err(value("store.endpoints", "is empty: name at least one server"));
         }
         range("store.timeout_ms", self.store.timeout_ms, 10, 60_000)?;
         range("drain_timeout_ms", self.drain_timeout_ms, 0, 3_600_000)?;
         range("workers", self.workers as u64, 0, 1_024)?;
-        range(
-            "limits.connections",
-            self.limits.connections as u64,
-            1,
-            1_000_000,
-        )?;
-        range(
-            "limits.head_bytes",
-            self.limits.head_bytes as u64,
-            8_192,
-            1 << 20,
-        )?;
-        range(
-            "limits.head_timeout_ms",
-            self.limits.head_timeout_ms,
-            100,
-            600_000,
-        )?;
-        range(
-            "limits.body_pause_ms",
-            self.limits.body_pause_ms,
-            100,
-            600_000,
-        )?;
-        range(
-            "membership.period_ms",
-            self.membership.period_ms,
-            50,
-            60_000,
-        )?;
-        range(
-            "membership.suspicion_ms",
-            self.membership.suspicion_ms,
-            100,
-            600_000,
-        )?;
+        range("limits.connections", self.limits.connections as u64, 1, 1_000_000)?;
+        range("limits.head_bytes", self.limits.head_bytes as u64, 8_192, 1 << 20)?;
+        range("limits.head_timeout_ms", self.limits.head_timeout_ms, 100, 600_000)?;
+        range("limits.body_pause_ms", self.limits.body_pause_ms, 100, 600_000)?;
+        range("membership.period_ms", self.membership.period_ms, 50, 60_000)?;
+        range("membership.suspicion_ms", self.membership.suspicion_ms, 100, 600_000)?;
         let token = read_token(&self.api)?;
         Ok(Settings {
             endpoints: self.store.endpoints.iter().copied().map(Endpoint).collect(),
@@ -289,56 +248,37 @@
 impl Settings {
     /// Reads and checks a settings file.
     pub fn read(path: &Path) -> Result<Self, InvalidSettings> {
-        let unreadable = |reason| InvalidSettings::Unreadable {
-            path: path.to_owned(),
-            reason,
-        };
+        let unreadable = |reason| InvalidSettings::Unreadable { path: path.to_owned(), reason };
         let text = std::fs::read_to_string(path).map_err(unreadable)?;
         Options::parse(&text)?.resolve()
     }
 }
 
 fn value(key: &'static str, message: &str) -> InvalidSettings {
-    InvalidSettings::Value {
-        key,
-        message: message.to_owned(),
-    }
+    InvalidSettings::Value { key, message: message.to_owned() }
 }
 
 fn range(key: &'static str, found: u64, low: u64, high: u64) -> Result<(), InvalidSettings> {
     if (low..=high).contains(&found) {
         return Ok(());
     }
-    Err(InvalidSettings::Value {
-        key,
-        message: format!("{found} is outside {low} to {high}"),
-    })
+    Err(InvalidSettings::Value { key, message: format!("{found} is outside {low} to {high}") })
 }
 
 fn read_token(api: &ApiOptions) -> Result<Option<String>, InvalidSettings> {
     let token = match (&api.token_file, &api.token_env) {
         (None, None) => return Ok(None),
         (Some(_), Some(_)) => {
-            return Err(value(
-                "api.token_env",
-                "set either token_file or token_env, not both",
-            ));
-        }
-        (Some(path), None) => {
-            std::fs::read_to_string(path).map_err(|reason| InvalidSettings::Unreadable {
-                path: path.clone(),
-                reason,
-            })?
+            return Err(value("api.token_env", "set either token_file or token_env, not both"));
         }
+        (Some(path), None) => std::fs::read_to_string(path)
+            .map_err(|reason| InvalidSettings::Unreadable { path: path.clone(), reason })?,
         (None, Some(name)) => std::env::var(name)
             .map_err(|_| value("api.token_env", "names a variable that is not set"))?,
     };
     let token = token.trim().to_owned();
     if token.len() < 16 {
-        return Err(value(
-            "api.token_file",
-            "holds a token of less than 16 bytes",
-        ));
+        return Err(value("api.token_file", "holds a token of less than 16 bytes"));
     }
     Ok(Some(token))
 }
--- a/crates/medlarpoint_daemon/src/startup.rs
+++ b/crates/medlarpoint_daemon/src/startup.rs
@@ -107,11 +107,7 @@
         return Found::Peers;
     }
     let read = reader::refresh(driver).await;
-    if contacts.is_ok() && read.is_ok() {
-        Found::StoreOnly
-    } else {
-        Found::Nothing
-    }
+    if contacts.is_ok() && read.is_ok() { Found::StoreOnly } else { Found::Nothing }
 }
 
 /// Pulls from a few live peers until none has anything newer.
@@ -120,11 +116,7 @@
     let peers: Vec<(SocketAddr, Distance, String)> = {
         let control = lock(&shared.control);
         let me = &control.detector.me().vm;
-        let others = control
-            .detector
-            .table()
-            .live()
-            .filter(|record| record.vm != *me);
+        let others = control.detector.table().live().filter(|record| record.vm != *me);
         let mut others: Vec<_> = others
             .map(|record| (record.peer, shared.distance(record), record.vm.to_string()))
             .collect();
--- a/crates/medlarpoint_daemon/src/state.rs
+++ b/crates/medlarpoint_daemon/src/state.rs
@@ -154,20 +154,13 @@
 
     /// Returns the distance of a control address; unknown ones count as near.
     pub(crate) fn distance_of(&self, control: &Control, peer: SocketAddr) -> Distance {
-        let record = control
-            .detector
-            .table()
-            .live()
-            .find(|record| record.peer == peer);
+        let record = control.detector.table().live().find(|record| record.peer == peer);
         record.map_or(Distance::Near, |record| self.distance(record))
     }
 
     pub(crate) fn tip(&self) -> Tip {
         let in_force = self.in_force.load();
-        Tip {
-            version: in_force.snapshot.version,
-            digest: in_force.snapshot.digest,
-        }
+        Tip { version: in_force.snapshot.version, digest: in_force.snapshot.digest }
     }
 
     pub(crate) fn version(&self) -> Version {
--- a/crates/medlarpoint_daemon/src/target.rs
+++ b/crates/medlarpoint_daemon/src/target.rs
@@ -43,17 +43,8 @@
         let mut known = lock(&shared.target);
         let stage = known.as_ref().map_or(Stage::Ready, |known| known.stage);
         let renewed = known.as_ref().is_some_and(|known| {
-            (
-                &known.service,
-                known.address,
-                known.slots,
-                known.connections,
-            ) == (
-                &target.service,
-                target.address,
-                target.slots,
-                target.connections,
-            )
+            (&known.service, known.address, known.slots, known.connections)
+                == (&target.service, target.address, target.slots, target.connections)
         });
         if renewed {
             return Ok(());
@@ -80,11 +71,7 @@
     let service = {
         let mut target = lock(&shared.target);
         let target = target.as_mut().ok_or(TargetError::Missing)?;
-        target.stage = if draining {
-            Stage::Draining
-        } else {
-            Stage::Ready
-        };
+        target.stage = if draining { Stage::Draining } else { Stage::Ready };
         target.service.clone()
     };
     if draining {
@@ -107,20 +94,10 @@
         let now = shared.now();
         let mut intake = lock(&shared.intake);
         intake.set_draining(draining || shared.is_stopping());
-        intake
-            .gate_mut()
-            .set_slots(if draining { state.slots } else { usable }, now);
+        intake.gate_mut().set_slots(if draining { state.slots } else { usable }, now);
     }
-    let stage = if draining || state.down {
-        Stage::Draining
-    } else {
-        Stage::Ready
-    };
-    let announcement = Announcement {
-        service: state.service,
-        slots: state.slots,
-        stage,
-    };
+    let stage = if draining || state.down { Stage::Draining } else { Stage::Ready };
+    let announcement = Announcement { service: state.service, slots: state.slots, stage };
     driver.update_record(|record| record.target = Some(announcement));
 }
 
@@ -167,11 +144,7 @@
         target.down = down;
         target.failures = 0;
     }
-    let event = if down {
-        Event::TargetDown { address }
-    } else {
-        Event::TargetUp { address }
-    };
+    let event = if down { Event::TargetDown { address } } else { Event::TargetUp { address } };
     shared.emit(&event);
     publish(driver);
 }
--- a/crates/medlarpoint_daemon/src/traffic.rs
+++ b/crates/medlarpoint_daemon/src/traffic.rs
@@ -47,8 +47,7 @@
     /// Counts configuration fetched by this daemon from another region.
     pub(crate) fn fetched(&self, distance: Distance, bytes: usize) {
         if distance == Distance::Remote {
-            self.remote_config
-                .fetch_add(bytes as u64, Ordering::Relaxed);
+            self.remote_config.fetch_add(bytes as u64, Ordering::Relaxed);
         }
     }
 
--- a/crates/medlarpoint_daemon/src/view.rs
+++ b/crates/medlarpoint_daemon/src/view.rs
@@ -17,11 +17,7 @@
 
 /// Newest version any data centre is known to have.
 fn newest(control: &Control) -> Version {
-    let summaries = control
-        .detector
-        .summaries()
-        .iter()
-        .map(|s| s.summary.version);
+    let summaries = control.detector.summaries().iter().map(|s| s.summary.version);
     summaries.fold(control.replica.current().version, Version::max)
 }
 
@@ -31,12 +27,8 @@
     let options = &shared.settings.options;
     let newest = newest(&control);
     let now = shared.now();
-    let mut data_centres: Vec<Place> = control
-        .detector
-        .summaries()
-        .iter()
-        .map(|summed| place(summed, newest, now))
-        .collect();
+    let mut data_centres: Vec<Place> =
+        control.detector.summaries().iter().map(|summed| place(summed, newest, now)).collect();
     data_centres.sort_unstable_by(|a, b| a.data_centre.cmp(&b.data_centre));
     let down = control.store_down.clone();
     let tip = control.replica.tip();
@@ -68,10 +60,8 @@
         (false, true) => PlaceState::InForce,
         (false, false) => PlaceState::Converging,
     };
-    let laggard = |lag: &medlarpoint_wire::Lag| Laggard {
-        vm: lag.vm.clone(),
-        applied: lag.applied,
-    };
+    let laggard =
+        |lag: &medlarpoint_wire::Lag| Laggard { vm: lag.vm.clone(), applied: lag.applied };
     Place {
         data_centre: summary.data_centre.clone(),
         state,
@@ -105,16 +95,10 @@
 /// Lists the recent versions, newest first.
 pub(crate) fn history(shared: &Shared, limit: usize) -> History {
     let control = lock(&shared.control);
-    let places: Vec<DataCentre> = control
-        .detector
-        .summaries()
-        .iter()
-        .map(|s| s.summary.data_centre.clone())
-        .collect();
+    let places: Vec<DataCentre> =
+        control.detector.summaries().iter().map(|s| s.summary.data_centre.clone()).collect();
     let lines = control.history.lines().rev().take(limit);
-    History {
-        lines: lines.map(|known| line(known, &places)).collect(),
-    }
+    History { lines: lines.map(|known| line(known, &places)).collect() }
 }
 
 fn line(known: &medlarpoint_config::Line, places: &[DataCentre]) -> Line {
@@ -131,9 +115,7 @@
         Reached {
             data_centre: place.clone(),
             at_ms: in_force.map(|seen| seen.at_ms),
-            with: in_force
-                .map(|seen| seen.seen)
-                .filter(|seen| *seen != delta.version),
+            with: in_force.map(|seen| seen.seen).filter(|seen| *seen != delta.version),
         }
     };
     let mut in_force: Vec<Reached> = places.iter().map(reached).collect();
--- a/crates/medlarpoint_dev/src/cli.rs
+++ b/crates/medlarpoint_dev/src/cli.rs
@@ -18,21 +18,13 @@
     }
     let mut command = Arguments::command();
     command.build();
-    let _ = write!(
-        text,
-        "\n## medlarpoint\n\n```text\n{}```\n",
-        help(&mut command)
-    );
+    let _ = write!(text, "\n## medlarpoint\n\n```text\n{}```\n", help(&mut command));
     for sub in command.get_subcommands_mut() {
         if sub.get_name() == "help" {
             continue;
         }
         let name = sub.get_name().to_owned();
-        let _ = write!(
-            text,
-            "\n### medlarpoint {name}\n\n```text\n{}```\n",
-            help(sub)
-        );
+        let _ = write!(text, "\n### medlarpoint {name}\n\n```text\n{}```\n", help(sub));
     }
     text.push_str(
         "\n## medlarpointd\n\n\
--- a/crates/medlarpoint_dev/src/generate.rs
+++ b/crates/medlarpoint_dev/src/generate.rs
@@ -50,19 +50,12 @@
 }
 
 fn settle(path: &Path, text: &str, mode: Mode) -> Result<(), Failure> {
-    let failed = |reason| Failure::File {
-        path: path.to_owned(),
-        reason,
-    };
+    let failed = |reason| Failure::File { path: path.to_owned(), reason };
     match mode {
         Mode::Write => std::fs::write(path, text).map_err(failed),
         Mode::Check => {
             let found = std::fs::read_to_string(path).map_err(failed)?;
-            if found == text {
-                Ok(())
-            } else {
-                Err(Failure::Stale(path.to_owned()))
-            }
+            if found == text { Ok(()) } else { Err(Failure::Stale(path.to_owned())) }
         }
     }
 }
--- a/crates/medlarpoint_dev/src/settings.rs
+++ b/crates/medlarpoint_dev/src/settings.rs
@@ -36,9 +36,7 @@
             continue;
         }
         let metadata = property.metadata.as_ref().or(target.metadata.as_ref());
-        let meaning = metadata
-            .and_then(|m| m.description.clone())
-            .unwrap_or_default();
+        let meaning = metadata.and_then(|m| m.description.clone()).unwrap_or_default();
         let meaning = meaning.replace('\n', " ");
         let default = property.metadata.as_ref().and_then(|m| m.default.as_ref());
         let default = match default {
@@ -46,21 +44,13 @@
             None if object.required.contains(name) => "required".to_owned(),
             None => String::new(),
         };
-        let _ = writeln!(
-            text,
-            "| `{key}` | {} | {default} | {meaning} |",
-            kind(target)
-        );
+        let _ = writeln!(text, "| `{key}` | {} | {default} | {meaning} |", kind(target));
     }
 }
 
 /// Follows a reference to a named type.
 fn resolve<'a>(root: &'a RootSchema, schema: &'a SchemaObject) -> &'a SchemaObject {
-    let inner = schema
-        .subschemas
-        .as_ref()
-        .and_then(|s| s.all_of.as_ref())
-        .and_then(|s| s.first());
+    let inner = schema.subschemas.as_ref().and_then(|s| s.all_of.as_ref()).and_then(|s| s.first());
     let schema = match inner {
         Some(Schema::Object(inner)) => inner,
         _ => schema,
--- a/crates/medlarpoint_membership/src/contacts.rs
+++ b/crates/medlarpoint_membership/src/contacts.rs
@@ -24,15 +24,9 @@
     ) -> bool {
         let live: Vec<SocketAddr> = live.map(|record| record.peer).collect();
         let known = self.0.entry(place.clone()).or_default();
-        let mut next: Vec<SocketAddr> = known
-            .iter()
-            .copied()
-            .filter(|address| live.contains(address))
-            .collect();
-        let spare = live
-            .iter()
-            .copied()
-            .filter(|address| !known.contains(address));
+        let mut next: Vec<SocketAddr> =
+            known.iter().copied().filter(|address| live.contains(address)).collect();
+        let spare = live.iter().copied().filter(|address| !known.contains(address));
         next.extend(spare);
         next.truncate(PER_DATA_CENTRE);
         if *known == next {
@@ -46,8 +40,6 @@
     pub fn addresses(&self, near: &DataCentre) -> impl Iterator<Item = SocketAddr> {
         let first = self.0.get(near).into_iter().flatten();
         let rest = self.0.iter().filter(move |(place, _)| *place != near);
-        first
-            .chain(rest.flat_map(|(_, addresses)| addresses))
-            .copied()
+        first.chain(rest.flat_map(|(_, addresses)| addresses)).copied()
     }
 }
--- a/crates/medlarpoint_membership/src/detector.rs
+++ b/crates/medlarpoint_membership/src/detector.rs
@@ -25,6 +25,8 @@
 const RECORDS_PER_DATAGRAM: usize = 4;
 /// Members told at once of an urgent change of the own record.
 const URGENT_FANOUT: usize = 6;
+/// Probes per period that a data centre sends to members taken for dead.
+const DEAD_RATE: f64 = 1.0;
 /// Highest factor by which a daemon in doubt of itself slows down.
 const MAX_HEALTH: u32 = 4;
 /// A gap between ticks of this many periods is taken for a local pause.
@@ -106,6 +108,8 @@
     last_tick: Duration,
     last_sync: Option<Duration>,
     mismatched: bool,
+    /// The own record was renewed to answer a false one, and must be told.
+    refuted: bool,
     rng: StdRng,
     events: Vec<Event>,
 }
@@ -130,6 +134,7 @@
             last_tick: now,
             last_sync: None,
             mismatched: false,
+            refuted: false,
             rng: StdRng::seed_from_u64(seed),
             events: Vec::new(),
         };
@@ -195,13 +200,17 @@
         self.check_probe(now, &mut actions);
         self.check_remote(now);
         self.expire_suspects(now);
+        if std::mem::take(&mut self.refuted) {
+            actions.extend(self.tell_urgently(now));
+            actions.extend(self.tell_dead());
+        }
         if now >= self.next_probe && self.me.status != Status::Left {
             let slow = self.options.period * self.health.div_ceil(2);
             self.next_probe = now + self.options.period + slow;
             self.start_probe(now, &mut actions);
             self.sample_others(now, &mut actions);
-            self.table
-                .forget(now.saturating_sub(self.options.tombstone));
+            self.try_dead(now, &mut actions);
+            self.table.forget(now.saturating_sub(self.options.tombstone));
         }
         actions
     }
@@ -242,24 +251,15 @@
         data_centres: Vec<DataCentre>,
     ) -> SyncRequest {
         let have = self.table.briefs(&data_centres);
-        SyncRequest {
-            protocol,
-            fleet,
-            from: self.me.clone(),
-            data_centres,
-            have,
-        }
+        SyncRequest { protocol, fleet, from: self.me.clone(), data_centres, have }
     }
 
     /// Answers a table exchange.
     pub fn sync_reply(&mut self, now: Duration, request: &SyncRequest) -> SyncReply {
         self.merge(now, &request.from);
         let mut reply = SyncReply::default();
-        let have: IndexMap<&Vm, (Incarnation, Status)> = request
-            .have
-            .iter()
-            .map(|b| (&b.vm, (b.incarnation, b.status)))
-            .collect();
+        let have: IndexMap<&Vm, (Incarnation, Status)> =
+            request.have.iter().map(|b| (&b.vm, (b.incarnation, b.status))).collect();
         for brief in self.table.briefs(&request.data_centres) {
             let ours = (brief.incarnation, brief.status);
             let theirs = have.get(&brief.vm).copied();
@@ -271,10 +271,7 @@
             }
         }
         for (vm, theirs) in have {
-            let ours = self
-                .table
-                .get(vm)
-                .map(|m| (m.record.incarnation, m.record.status));
+            let ours = self.table.get(vm).map(|m| (m.record.incarnation, m.record.status));
             let gone = matches!(theirs.1, Status::Dead | Status::Left);
             if ours.map_or(!gone, |ours| ours < theirs) {
                 reply.wanted.push(vm.clone());
@@ -311,39 +308,17 @@
         let mut near: Vec<SocketAddr> = self.peers_in(&place);
         near.shuffle(&mut self.rng);
         near.truncate(URGENT_FANOUT);
-        let others = self
-            .table
-            .data_centres()
-            .into_iter()
-            .filter(|p| *p != place);
+        let others = self.table.data_centres().into_iter().filter(|p| *p != place);
         for other in others.collect::<Vec<_>>() {
             near.extend(self.peers_in(&other).choose(&mut self.rng));
         }
-        let mut actions = Vec::new();
-        for to in near {
-            let gossip = Gossip {
-                tip: self.tip,
-                records: vec![self.me.clone()],
-                ..Gossip::default()
-            };
-            self.seq += 1;
-            actions.push(Action::Send {
-                to,
-                body: Body::Probe {
-                    seq: self.seq,
-                    gossip,
-                },
-            });
-        }
+        let actions = near.into_iter().map(|to| self.tell(to)).collect();
         self.last_tick = now;
         actions
     }
 
     fn peers_in(&self, place: &DataCentre) -> Vec<SocketAddr> {
-        let others = self
-            .table
-            .live_in(place)
-            .filter(|record| record.vm != self.me.vm);
+        let others = self.table.live_in(place).filter(|record| record.vm != self.me.vm);
         others.map(|record| record.peer).collect()
     }
 
@@ -394,10 +369,7 @@
             .collect();
         helpers.shuffle(&mut self.rng);
         for to in helpers.into_iter().take(self.options.indirect) {
-            let body = Body::Indirect {
-                seq,
-                target: target.clone(),
-            };
+            let body = Body::Indirect { seq, target: target.clone() };
             actions.push(Action::Send { to, body });
         }
     }
@@ -405,12 +377,8 @@
     fn check_remote(&mut self, now: Duration) {
         let limit = self.options.period * 2 * (1 + self.health);
         let expired = |started: &Duration| now.saturating_sub(*started) >= limit;
-        let silent: Vec<Vm> = self
-            .remote
-            .iter()
-            .filter(|(_, s)| expired(s))
-            .map(|(vm, _)| vm.clone())
-            .collect();
+        let silent: Vec<Vm> =
+            self.remote.iter().filter(|(_, s)| expired(s)).map(|(vm, _)| vm.clone()).collect();
         for vm in silent {
             self.remote.swap_remove(&vm);
             let Some(place) = self.table.get(&vm).map(|m| m.record.data_centre.clone()) else {
@@ -429,10 +397,7 @@
         if member.record.status != Status::Alive {
             return;
         }
-        let record = Record {
-            status: Status::Suspect,
-            ..member.record.clone()
-        };
+        let record = Record { status: Status::Suspect, ..member.record.clone() };
         self.merge(now, &record);
     }
 
@@ -444,10 +409,7 @@
             .table
             .members()
             .filter(|m| m.record.status == Status::Suspect && now.saturating_sub(m.since) >= limit)
-            .map(|m| Record {
-                status: Status::Dead,
-                ..m.record.clone()
-            })
+            .map(|m| Record { status: Status::Dead, ..m.record.clone() })
             .collect();
         for record in expired {
             self.merge(now, &record);
@@ -460,21 +422,10 @@
         };
         self.seq += 1;
         let views = self.seq.is_multiple_of(self.options.view_every);
-        let body = Body::Probe {
-            seq: self.seq,
-            gossip: self.gossip(now, views),
-        };
-        actions.push(Action::Send {
-            to: record.peer,
-            body,
-        });
+        let body = Body::Probe { seq: self.seq, gossip: self.gossip(now, views) };
+        actions.push(Action::Send { to: record.peer, body });
         let vm = record.vm;
-        self.probe = Some(Probe {
-            seq: self.seq,
-            vm,
-            started: now,
-            asked_others: false,
-        });
+        self.probe = Some(Probe { seq: self.seq, vm, started: now, asked_others: false });
     }
 
     fn next_in_order(&mut self) -> Option<Record> {
@@ -507,27 +458,58 @@
                 continue;
             };
             let same_region = record.region == self.me.region;
-            let rate = if same_region {
-                self.options.region_rate
-            } else {
-                self.options.remote_rate
-            };
+            let rate =
+                if same_region { self.options.region_rate } else { self.options.remote_rate };
             if self.rng.random::<f64>() >= rate / near {
                 continue;
             }
             self.seq += 1;
-            let body = Body::Probe {
-                seq: self.seq,
-                gossip: self.gossip(now, true),
-            };
-            actions.push(Action::Send {
-                to: record.peer,
-                body,
-            });
-            self.remote.insert(record.vm, now);
+            let body = Body::Probe { seq: self.seq, gossip: self.gossip(now, true) };
+            actions.push(Action::Send { to: record.peer, body });
+            // The first probe that is not answered counts, not the last.
+            self.remote.entry(record.vm).or_insert(now);
         }
     }
 
+    /// Probes a member taken for dead, so that two sides that gave each other
+    /// up find together again. The rate per data centre is independent of its
+    /// size.
+    fn try_dead(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let place = self.me.data_centre.clone();
+        let near = self.table.live_in(&place).count().max(1) as f64;
+        if self.rng.random::<f64>() >= DEAD_RATE / near {
+            return;
+        }
+        let dead: Vec<SocketAddr> = self.dead().collect();
+        let Some(to) = dead.choose(&mut self.rng).copied() else {
+            return;
+        };
+        self.seq += 1;
+        let body = Body::Probe { seq: self.seq, gossip: self.gossip(now, false) };
+        actions.push(Action::Send { to, body });
+    }
+
+    fn dead(&self) -> impl Iterator<Item = SocketAddr> {
+        let members = self.table.members().map(|member| &member.record);
+        members.filter(|record| record.status == Status::Dead).map(|record| record.peer)
+    }
+
+    /// Tells members taken for dead of the own record: they may have taken us
+    /// for dead as well.
+    fn tell_dead(&mut self) -> Vec<Action> {
+        let mut dead: Vec<SocketAddr> = self.dead().collect();
+        dead.shuffle(&mut self.rng);
+        dead.truncate(URGENT_FANOUT);
+        dead.into_iter().map(|to| self.tell(to)).collect()
+    }
+
+    fn tell(&mut self, to: SocketAddr) -> Action {
+        let records = vec![self.me.clone()];
+        let gossip = Gossip { tip: self.tip, records, ..Gossip::default() };
+        self.seq += 1;
+        Action::Send { to, body: Body::Probe { seq: self.seq, gossip } }
+    }
+
     fn gossip(&mut self, now: Duration, views: bool) -> Gossip {
         let members = self.table.live().count();
         let chosen = self.queue.take(RECORDS_PER_DATAGRAM, members);
@@ -536,11 +518,7 @@
             tip: self.tip,
             records: records.map(|member| member.record.clone()).collect(),
             summaries: self.summaries.fresh(now, self.options.stale),
-            views: if views {
-                self.table.views()
-            } else {
-                Vec::new()
-            },
+            views: if views { self.table.views() } else { Vec::new() },
         }
     }
 
@@ -559,10 +537,7 @@
             self.summarize(summary, now);
         }
         self.remote.swap_remove(from);
-        let known = self
-            .table
-            .get(from)
-            .is_some_and(|member| member.record.is_live());
+        let known = self.table.get(from).is_some_and(|member| member.record.is_live());
         if !known {
             self.request_sync(now, address, Vec::new(), actions);
             return;
@@ -584,14 +559,9 @@
         }
         let ours = self.table.views();
         let differs = |view: &&View| !ours.contains(view);
-        let mut places: Vec<DataCentre> = theirs
-            .iter()
-            .filter(differs)
-            .map(|v| v.data_centre.clone())
-            .collect();
-        let missing = ours
-            .iter()
-            .filter(|v| theirs.iter().all(|t| t.data_centre != v.data_centre));
+        let mut places: Vec<DataCentre> =
+            theirs.iter().filter(differs).map(|v| v.data_centre.clone()).collect();
+        let missing = ours.iter().filter(|v| theirs.iter().all(|t| t.data_centre != v.data_centre));
         places.extend(missing.map(|view| view.data_centre.clone()));
         let twice = std::mem::replace(&mut self.mismatched, !places.is_empty());
         if twice && !places.is_empty() {
@@ -606,9 +576,7 @@
         data_centres: Vec<DataCentre>,
         actions: &mut Vec<Action>,
     ) {
-        let due = self
-            .last_sync
-            .is_none_or(|at| now.saturating_sub(at) >= self.options.sync_gap);
+        let due = self.last_sync.is_none_or(|at| now.saturating_sub(at) >= self.options.sync_gap);
         if due {
             self.last_sync = Some(now);
             actions.push(Action::Sync { to, data_centres });
@@ -626,22 +594,12 @@
         // The answer is passed on with the origin's number and the target's
         // record, so that the origin knows it lives.
         let record = self.table.get(from).map(|member| member.record.clone());
-        let gossip = Gossip {
-            tip: self.tip,
-            records: record.into_iter().collect(),
-            ..Gossip::default()
-        };
-        let body = Body::Ack {
-            seq: errand.origin_seq,
-            gossip,
-        };
-        actions.push(Action::Send {
-            to: errand.origin,
-            body,
-        });
+        let gossip =
+            Gossip { tip: self.tip, records: record.into_iter().collect(), ..Gossip::default() };
+        let body = Body::Ack { seq: errand.origin_seq, gossip };
+        actions.push(Action::Send { to: errand.origin, body });
         let limit = self.options.period * MAX_HEALTH;
-        self.errands
-            .retain(|_, errand| now.saturating_sub(errand.started) < limit);
+        self.errands.retain(|_, errand| now.saturating_sub(errand.started) < limit);
     }
 
     fn run_errand(
@@ -656,18 +614,8 @@
             return;
         };
         self.seq += 1;
-        self.errands.insert(
-            self.seq,
-            Errand {
-                origin,
-                origin_seq,
-                started: now,
-            },
-        );
-        let body = Body::Probe {
-            seq: self.seq,
-            gossip: self.gossip(now, false),
-        };
+        self.errands.insert(self.seq, Errand { origin, origin_seq, started: now });
+        let body = Body::Probe { seq: self.seq, gossip: self.gossip(now, false) };
         actions.push(Action::Send { to, body });
     }
 
@@ -676,10 +624,7 @@
             self.refute(now, record);
             return;
         }
-        let old = self
-            .table
-            .get(&record.vm)
-            .map(|m| (m.record.boot, m.record.target.clone()));
+        let old = self.table.get(&record.vm).map(|m| (m.record.boot, m.record.target.clone()));
         let from = match self.table.merge(record, now) {
             Merged::Nothing => return,
             Merged::New => None,
@@ -688,11 +633,7 @@
         self.queue.push(record.vm.clone());
         let vm = record.vm.clone();
         if from != Some(record.status) {
-            self.events.push(Event::Liveness {
-                vm: vm.clone(),
-                from,
-                to: record.status,
-            });
+            self.events.push(Event::Liveness { vm: vm.clone(), from, to: record.status });
         }
         if old.is_some_and(|(boot, target)| boot != record.boot || target != record.target) {
             self.events.push(Event::Content(vm));
@@ -708,6 +649,7 @@
         }
         self.me.incarnation = Incarnation(record.incarnation.0 + 1);
         self.publish(now);
+        self.refuted = true;
         if record.status == Status::Suspect && record.boot == self.me.boot {
             self.health = (self.health + 1).min(MAX_HEALTH);
         }
--- a/crates/medlarpoint_membership/src/reporter.rs
+++ b/crates/medlarpoint_membership/src/reporter.rs
@@ -47,14 +47,7 @@
             if waiting {
                 continue;
             }
-            self.sent.insert(
-                vm.clone(),
-                Sent {
-                    version,
-                    at: now,
-                    confirmed: false,
-                },
-            );
+            self.sent.insert(vm.clone(), Sent { version, at: now, confirmed: false });
             due.push(vm.clone());
         }
         due
@@ -106,10 +99,7 @@
             }
             behind += 1;
             if laggards.len() < MAX_LAGGARDS {
-                laggards.push(Lag {
-                    vm: (*vm).clone(),
-                    applied,
-                });
+                laggards.push(Lag { vm: (*vm).clone(), applied });
             }
         }
         let since_ms = self.since(oldest);
@@ -130,12 +120,7 @@
         {
             return since;
         }
-        let last = self
-            .applied
-            .values()
-            .filter(|a| a.version == oldest)
-            .map(|a| a.at_ms)
-            .max();
+        let last = self.applied.values().filter(|a| a.version == oldest).map(|a| a.at_ms).max();
         let since = last.unwrap_or_default();
         self.reached = Some((oldest, since));
         since
--- a/crates/medlarpoint_membership/src/role.rs
+++ b/crates/medlarpoint_membership/src/role.rs
@@ -36,7 +36,5 @@
 /// Returns the place of `me` among `others` for a role; zero ranks first.
 pub fn rank<'a>(role: Role, me: &Vm, others: impl Iterator<Item = &'a Vm>) -> usize {
     let mine = (weight(role, me), me);
-    others
-        .filter(|vm| *vm != me && (weight(role, vm), *vm) < mine)
-        .count()
+    others.filter(|vm| *vm != me && (weight(role, vm), *vm) < mine).count()
 }
--- a/crates/medlarpoint_membership/src/summaries.rs
+++ b/crates/medlarpoint_membership/src/summaries.rs
@@ -25,10 +25,7 @@
     /// Takes a summary if it is newer; tells whether the version in force rose.
     pub fn merge(&mut self, summary: &Summary, now: Duration) -> bool {
         let Some(known) = self.newest.get_mut(&summary.data_centre) else {
-            let summed = Summed {
-                summary: summary.clone(),
-                heard: now,
-            };
+            let summed = Summed { summary: summary.clone(), heard: now };
             self.newest.insert(summary.data_centre.clone(), summed);
             return true;
         };
@@ -36,10 +33,7 @@
             return false;
         }
         let rose = summary.version > known.summary.version;
-        *known = Summed {
-            summary: summary.clone(),
-            heard: now,
-        };
+        *known = Summed { summary: summary.clone(), heard: now };
         rose
     }
 
@@ -55,10 +49,7 @@
 
     /// Lists the summaries to pass on: those that are still renewed.
     pub(crate) fn fresh(&self, now: Duration, stale: Duration) -> Vec<Summary> {
-        let fresh = self
-            .newest
-            .values()
-            .filter(|s| now.saturating_sub(s.heard) < stale);
+        let fresh = self.newest.values().filter(|s| now.saturating_sub(s.heard) < stale);
         fresh.map(|summed| summed.summary.clone()).collect()
     }
 }
--- a/crates/medlarpoint_membership/src/table.rs
+++ b/crates/medlarpoint_membership/src/table.rs
@@ -38,16 +38,12 @@
 
     /// Iterates over the live members.
     pub fn live(&self) -> impl Iterator<Item = &Record> {
-        self.members
-            .values()
-            .map(|member| &member.record)
-            .filter(|record| record.is_live())
+        self.members.values().map(|member| &member.record).filter(|record| record.is_live())
     }
 
     /// Iterates over the live members of a data centre.
     pub fn live_in<'a>(&'a self, place: &'a DataCentre) -> impl Iterator<Item = &'a Record> {
-        self.live()
-            .filter(move |record| record.data_centre == *place)
+        self.live().filter(move |record| record.data_centre == *place)
     }
 
     /// Returns the data centres of live members, in order of name.
@@ -64,10 +60,7 @@
             if !record.is_live() {
                 return Merged::Nothing;
             }
-            let member = Member {
-                record: record.clone(),
-                since: now,
-            };
+            let member = Member { record: record.clone(), since: now };
             self.members.insert(record.vm.clone(), member);
             return Merged::New;
         };
@@ -84,8 +77,7 @@
 
     /// Forgets members that have been gone since before `limit`.
     pub(crate) fn forget(&mut self, limit: Duration) {
-        self.members
-            .retain(|_, member| member.record.is_live() || member.since > limit);
+        self.members.retain(|_, member| member.record.is_live() || member.since > limit);
     }
 
     /// Shifts the liveness times of suspected members, after a local pause.
@@ -118,12 +110,7 @@
             incarnation: record.incarnation,
             status: record.status,
         };
-        self.members
-            .values()
-            .map(|m| &m.record)
-            .filter(wanted)
-            .map(brief)
-            .collect()
+        self.members.values().map(|m| &m.record).filter(wanted).map(brief).collect()
     }
 }
 
--- a/crates/medlarpoint_model/src/document.rs
+++ b/crates/medlarpoint_model/src/document.rs
@@ -33,9 +33,7 @@
         let mut parser = Parser::default();
         parser.root(&root);
         if parser.faults.is_empty() {
-            return Ok(Self {
-                resources: parser.resources,
-            });
+            return Ok(Self { resources: parser.resources });
         }
         Err(Faults(parser.faults))
     }
@@ -63,11 +61,7 @@
 impl Parser {
     fn root(&mut self, root: &Value) {
         let Value::Object(tables) = root else {
-            self.fault(
-                Rule::Shape,
-                "document",
-                "must be a table of service, route and policy",
-            );
+            self.fault(Rule::Shape, "document", "must be a table of service, route and policy");
             return;
         };
         for (table, items) in tables {
@@ -116,11 +110,7 @@
 
     fn fault(&mut self, rule: Rule, path: &str, message: &str) {
         let (path, message) = (path.to_owned(), message.to_owned());
-        self.faults.push(Fault {
-            rule,
-            path,
-            message,
-        });
+        self.faults.push(Fault { rule, path, message });
     }
 }
 
@@ -141,10 +131,7 @@
         };
         let changes: Vec<Change> = document.resources.into_iter().map(Change::Put).collect();
         let snapshot = Snapshot::empty().edit(&changes);
-        validate(&snapshot)
-            .err()
-            .map(|faults| faults.to_string())
-            .unwrap_or_default()
+        validate(&snapshot).err().map(|faults| faults.to_string()).unwrap_or_default()
     }
 
     #[test]
--- a/crates/medlarpoint_model/src/resource.rs
+++ b/crates/medlarpoint_model/src/resource.rs
@@ -75,13 +75,8 @@
         let Some((kind, name)) = text.split_once('/') else {
             return Err(InvalidKey::Shape(text.to_owned()));
         };
-        let kind = kind
-            .parse()
-            .map_err(|_| InvalidKey::Kind(kind.to_owned()))?;
-        Ok(Self {
-            kind,
-            name: name.parse()?,
-        })
+        let kind = kind.parse().map_err(|_| InvalidKey::Kind(kind.to_owned()))?;
+        Ok(Self { kind, name: name.parse()? })
     }
 }
 
@@ -105,10 +100,7 @@
             Self::Route(route) => (Kind::Route, &route.name),
             Self::Service(service) => (Kind::Service, &service.name),
         };
-        Key {
-            kind,
-            name: name.clone(),
-        }
+        Key { kind, name: name.clone() }
     }
 }
 
--- a/crates/medlarpoint_model/src/snapshot.rs
+++ b/crates/medlarpoint_model/src/snapshot.rs
@@ -61,10 +61,7 @@
         for change in changes {
             match change {
                 Change::Put(resource) => {
-                    let entry = Entry {
-                        resource: resource.clone(),
-                        changed: version,
-                    };
+                    let entry = Entry { resource: resource.clone(), changed: version };
                     entries.insert(resource.key(), entry);
                 }
                 Change::Delete(key) => {
@@ -74,29 +71,20 @@
         }
         entries.sort_unstable_keys();
         let digest = Digest::of(&entries);
-        Self {
-            version,
-            digest,
-            entries,
-        }
+        Self { version, digest, entries }
     }
 
     /// Applies `delta`, checking base, result and validity.
     pub fn apply(&self, delta: &Delta) -> Result<Self, Mismatch> {
         if delta.version != self.version.next() {
-            return Err(Mismatch::Version {
-                base: self.version,
-                delta: delta.version,
-            });
+            return Err(Mismatch::Version { base: self.version, delta: delta.version });
         }
         if delta.base_digest != self.digest {
             return Err(Mismatch::BaseDigest { base: self.version });
         }
         let next = self.edit(&delta.changes);
         if next.digest != delta.digest {
-            return Err(Mismatch::Digest {
-                version: next.version,
-            });
+            return Err(Mismatch::Digest { version: next.version });
         }
         next.checked()
     }
@@ -105,9 +93,7 @@
     pub fn verify(mut self) -> Result<Self, Mismatch> {
         self.entries.sort_unstable_keys();
         if Digest::of(&self.entries) != self.digest {
-            return Err(Mismatch::Digest {
-                version: self.version,
-            });
+            return Err(Mismatch::Digest { version: self.version });
         }
         self.checked()
     }
@@ -115,39 +101,27 @@
     fn checked(self) -> Result<Self, Mismatch> {
         match validate(&self) {
             Ok(()) => Ok(self),
-            Err(faults) => Err(Mismatch::Invalid {
-                version: self.version,
-                faults,
-            }),
+            Err(faults) => Err(Mismatch::Invalid { version: self.version, faults }),
         }
     }
 
     /// Returns the empty configuration.
     pub fn empty() -> Self {
         let entries = IndexMap::new();
-        Self {
-            version: Version::ZERO,
-            digest: Digest::of(&entries),
-            entries,
-        }
+        Self { version: Version::ZERO, digest: Digest::of(&entries), entries }
     }
 
     /// Iterates over the routes.
     pub fn routes(&self) -> impl Iterator<Item = &Route> {
-        self.entries
-            .values()
-            .filter_map(|entry| match &entry.resource {
-                Resource::Route(route) => Some(route),
-                _ => None,
-            })
+        self.entries.values().filter_map(|entry| match &entry.resource {
+            Resource::Route(route) => Some(route),
+            _ => None,
+        })
     }
 
     /// Looks up a service by name.
     pub fn service(&self, name: &Name) -> Option<&Service> {
-        let key = Key {
-            kind: crate::Kind::Service,
-            name: name.clone(),
-        };
+        let key = Key { kind: crate::Kind::Service, name: name.clone() };
         match &self.entries.get(&key)?.resource {
             Resource::Service(service) => Some(service),
             _ => None,
@@ -156,10 +130,7 @@
 
     /// Looks up a policy by name.
     pub fn policy(&self, name: &Name) -> Option<&Policy> {
-        let key = Key {
-            kind: crate::Kind::Policy,
-            name: name.clone(),
-        };
+        let key = Key { kind: crate::Kind::Policy, name: name.clone() };
         match &self.entries.get(&key)?.resource {
             Resource::Policy(policy) => Some(policy),
             _ => None,
--- a/crates/medlarpoint_model/src/validation.rs
+++ b/crates/medlarpoint_model/src/validation.rs
@@ -23,11 +23,7 @@
             }
         }
     }
-    if faults.is_empty() {
-        Ok(())
-    } else {
-        Err(Faults(faults))
-    }
+    if faults.is_empty() { Ok(()) } else { Err(Faults(faults)) }
 }
 
 fn check_policy(policy: &Policy, faults: &mut Vec<Fault>) {
@@ -41,33 +37,13 @@
             message: format!("{value} is outside {low} to {high}"),
         });
     };
-    range(
-        "long_share_percent",
-        policy.long_share_percent.into(),
-        1,
-        100,
-    );
+    range("long_share_percent", policy.long_share_percent.into(), 1, 100);
     range("queue_per_slot", policy.queue_per_slot.into(), 0, 1_000);
-    range(
-        "retry_budget_percent",
-        policy.retry_budget_percent.into(),
-        0,
-        100,
-    );
-    range(
-        "hedge_budget_percent",
-        policy.hedge_budget_percent.into(),
-        0,
-        100,
-    );
+    range("retry_budget_percent", policy.retry_budget_percent.into(), 0, 100);
+    range("hedge_budget_percent", policy.hedge_budget_percent.into(), 0, 100);
     range("ramp_ms", policy.ramp_ms, 0, MAX_RAMP_MS);
     for (tenant, weight) in &policy.tenant_weights {
-        range(
-            &format!("tenant_weights.{tenant}"),
-            (*weight).into(),
-            1,
-            1_000,
-        );
+        range(&format!("tenant_weights.{tenant}"), (*weight).into(), 1, 1_000);
     }
 }
 
@@ -102,11 +78,7 @@
         });
     }
     for (field, message) in matcher_faults(&route.matcher) {
-        faults.push(Fault {
-            rule: Rule::Matcher,
-            path: path(&field),
-            message,
-        });
+        faults.push(Fault { rule: Rule::Matcher, path: path(&field), message });
     }
 }
 
@@ -153,21 +125,13 @@
     let mut headers: Vec<_> = matcher.headers.clone().into_iter().collect();
     headers.sort_unstable();
     let host = matcher.host.as_deref().unwrap_or("").to_ascii_lowercase();
-    let prefix = matcher
-        .path_prefix
-        .as_deref()
-        .unwrap_or("/")
-        .trim_end_matches('/')
-        .to_owned();
+    let prefix = matcher.path_prefix.as_deref().unwrap_or("/").trim_end_matches('/').to_owned();
     let Some(other) = seen.insert((host, prefix, methods, headers), route) else {
         return;
     };
     faults.push(Fault {
         rule: Rule::Ambiguous,
         path: format!("route[{}].match", route.name),
-        message: format!(
-            "route {} matches the same calls: change one of them",
-            other.name
-        ),
+        message: format!("route {} matches the same calls: change one of them", other.name),
     });
 }
--- a/crates/medlarpoint_routing/src/breaker.rs
+++ b/crates/medlarpoint_routing/src/breaker.rs
@@ -37,11 +37,7 @@
 impl Default for Breaker {
     fn default() -> Self {
         let state = State::Closed { failures: 0 };
-        Self {
-            state,
-            generation: Generation::default(),
-            trips: 0,
-        }
+        Self { state, generation: Generation::default(), trips: 0 }
     }
 }
 
@@ -60,10 +56,7 @@
         if let State::Open { until } = self.state
             && now >= until
         {
-            self.change(State::HalfOpen {
-                successes: 0,
-                trying: 0,
-            });
+            self.change(State::HalfOpen { successes: 0, trying: 0 });
         }
         if let State::HalfOpen { trying, .. } = &mut self.state {
             *trying += 1;
@@ -98,13 +91,9 @@
     }
 
     fn trip(&mut self, now: Duration) {
-        let backoff = BACKOFF
-            .saturating_mul(1 << self.trips.min(8))
-            .min(MAX_BACKOFF);
+        let backoff = BACKOFF.saturating_mul(1 << self.trips.min(8)).min(MAX_BACKOFF);
         self.trips += 1;
-        self.change(State::Open {
-            until: now + backoff,
-        });
+        self.change(State::Open { until: now + backoff });
     }
 
     fn change(&mut self, state: State) {
--- a/crates/medlarpoint_routing/src/budget.rs
+++ b/crates/medlarpoint_routing/src/budget.rs
@@ -11,9 +11,7 @@
 
 impl Default for Budget {
     fn default() -> Self {
-        Self {
-            saved: MAX_SAVED / 2.0,
-        }
+        Self { saved: MAX_SAVED / 2.0 }
     }
 }
 
--- a/crates/medlarpoint_routing/src/call.rs
+++ b/crates/medlarpoint_routing/src/call.rs
@@ -185,11 +185,7 @@
         if let Some(after) = self.hedge_wait() {
             at = at.min(self.started + after);
         }
-        let asks = self
-            .attempts
-            .values()
-            .filter(|a| !a.asking)
-            .map(|a| a.ask_at);
+        let asks = self.attempts.values().filter(|a| !a.asking).map(|a| a.ask_at);
         asks.fold(at, Duration::min)
     }
 
@@ -252,10 +248,7 @@
         pick: &mut P,
     ) -> Vec<Action> {
         if point == Point::Connect {
-            let verdict = Verdict::NotRun {
-                point,
-                retry_after: Duration::from_millis(100),
-            };
+            let verdict = Verdict::NotRun { point, retry_after: Duration::from_millis(100) };
             return self.on_verdict(now, attempt, verdict, pick);
         }
         let Some(known) = self.attempts.get_mut(&attempt) else {
@@ -284,10 +277,7 @@
         let choice = state.choice.clone();
         match known {
             Known::Unseen => {
-                let verdict = Verdict::NotRun {
-                    point: Point::Silent,
-                    retry_after: Duration::ZERO,
-                };
+                let verdict = Verdict::NotRun { point: Point::Silent, retry_after: Duration::ZERO };
                 self.on_verdict(now, attempt, verdict, pick)
             }
             Known::Restarted | Known::Forgotten => {
@@ -303,8 +293,10 @@
             }
             Known::Running if self.terms.keyed => self.ask_later(now, attempt),
             Known::Finished if self.terms.keyed && self.sent < MAX_ATTEMPTS => {
-                // The window of the same inbound proxy has the answer.
+                // The window of the same inbound proxy has the answer. Should that
+                // proxy restart first, the new attempt does not run, but this one did.
                 self.attempts.swap_remove(&attempt);
+                self.doubt = Some(Point::HalfAnswer);
                 self.send(now, choice, pick)
             }
             Known::Finished if !self.terms.repeatable => self.finish(Final::Ran),
@@ -326,10 +318,7 @@
             };
         }
         let mut actions = Vec::new();
-        if self
-            .hedge_wait()
-            .is_some_and(|after| now >= self.started + after)
-        {
+        if self.hedge_wait().is_some_and(|after| now >= self.started + after) {
             actions.extend(self.hedge(now, pick));
         }
         for (attempt, state) in &mut self.attempts {
@@ -342,19 +331,13 @@
     }
 
     fn hedge_wait(&self) -> Option<Duration> {
-        self.terms
-            .hedge_after
-            .filter(|_| !self.hedged && self.terms.repeatable)
+        self.terms.hedge_after.filter(|_| !self.hedged && self.terms.repeatable)
     }
 
     fn hedge<P: Pick>(&mut self, now: Duration, pick: &mut P) -> Vec<Action> {
         self.hedged = true;
         let mut exclude = self.excluded.clone();
-        exclude.extend(
-            self.attempts
-                .values()
-                .map(|attempt| attempt.choice.vm.clone()),
-        );
+        exclude.extend(self.attempts.values().map(|attempt| attempt.choice.vm.clone()));
         if self.attempts.len() != 1 || !pick.may_hedge() {
             return Vec::new();
         }
@@ -367,11 +350,7 @@
     fn ask_later(&mut self, now: Duration, attempt: AttemptId) -> Vec<Action> {
         if let Some(state) = self.attempts.get_mut(&attempt) {
             state.gap = (state.gap * 2).min(MAX_QUERY_GAP);
-            let gap = if state.cut {
-                state.gap.min(self.terms.suspect_after)
-            } else {
-                state.gap
-            };
+            let gap = if state.cut { state.gap.min(self.terms.suspect_after) } else { state.gap };
             state.ask_at = now + gap;
         }
         Vec::new()
@@ -426,11 +405,13 @@
 
     fn follow<P: Pick>(&mut self, now: Duration, claim: &Claim, pick: &mut P) -> Vec<Action> {
         self.redirects += 1;
-        let owner = pick
-            .locate(now, &claim.vm)
-            .filter(|choice| choice.boot == claim.boot);
+        let owner = pick.locate(now, &claim.vm).filter(|choice| choice.boot == claim.boot);
         match owner {
-            Some(choice) if self.redirects <= MAX_REDIRECTS => self.send(now, choice, pick),
+            Some(choice) if self.redirects <= MAX_REDIRECTS => {
+                // Whoever holds the key may have run it for an earlier call.
+                self.doubt = Some(Point::ClaimOrphaned);
+                self.send(now, choice, pick)
+            }
             _ => self.finish(Final::Unknown(Point::ClaimOrphaned)),
         }
     }
@@ -464,11 +445,8 @@
 
     fn finish(&mut self, outcome: Final) -> Vec<Action> {
         self.over = true;
-        let mut actions: Vec<Action> = self
-            .attempts
-            .drain(..)
-            .map(|(id, _)| Action::Cancel(id))
-            .collect();
+        let mut actions: Vec<Action> =
+            self.attempts.drain(..).map(|(id, _)| Action::Cancel(id)).collect();
         actions.push(Action::Finish(outcome));
         actions
     }
--- a/crates/medlarpoint_routing/src/fair.rs
+++ b/crates/medlarpoint_routing/src/fair.rs
@@ -51,8 +51,7 @@
         self.clock = start;
         self.len -= 1;
         let clock = self.clock;
-        self.lanes
-            .retain(|_, lane| !lane.tickets.is_empty() || lane.finish > clock);
+        self.lanes.retain(|_, lane| !lane.tickets.is_empty() || lane.finish > clock);
         Some(queued.ticket)
     }
 
@@ -78,10 +77,7 @@
 
     pub(crate) fn remove(&mut self, attempt: AttemptId) -> Option<Ticket> {
         for lane in self.lanes.values_mut() {
-            let place = lane
-                .tickets
-                .iter()
-                .position(|q| q.ticket.attempt == attempt);
+            let place = lane.tickets.iter().position(|q| q.ticket.attempt == attempt);
             let Some(queued) = place.and_then(|place| lane.tickets.remove(place)) else {
                 continue;
             };
@@ -95,10 +91,8 @@
     pub(crate) fn extract(&mut self, test: impl Fn(&Ticket) -> bool) -> Vec<Ticket> {
         let mut taken = Vec::new();
         for lane in self.lanes.values_mut() {
-            let (out, keep): (Vec<Queued>, Vec<Queued>) = lane
-                .tickets
-                .drain(..)
-                .partition(|queued| test(&queued.ticket));
+            let (out, keep): (Vec<Queued>, Vec<Queued>) =
+                lane.tickets.drain(..).partition(|queued| test(&queued.ticket));
             lane.tickets = keep.into();
             taken.extend(out.into_iter().map(|queued| queued.ticket));
         }
@@ -136,10 +130,7 @@
             fair.push(ticket(id, "chairs", 3));
         }
         let first: Vec<_> = (0..20).filter_map(|_| fair.pop()).collect();
-        let chairs = first
-            .iter()
-            .filter(|t| t.tenant.as_str() == "chairs")
-            .count();
+        let chairs = first.iter().filter(|t| t.tenant.as_str() == "chairs").count();
         assert_eq!(chairs, 15);
     }
 
