--- a/crates/medlarpoint_routing/src/gate.rs
+++ b/crates/medlarpoint_routing/src/gate.rs
@@ -96,13 +96,7 @@
 impl Gate {
     /// Opens a target with `slots` slots at `now`; zero slots admit nothing.
     pub fn new(slots: u32, policy: Policy, now: Duration) -> Self {
-        Self {
-            slots,
-            policy,
-            opened: now,
-            short: Side::default(),
-            long: Side::default(),
-        }
+        Self { slots, policy, opened: now, short: Side::default(), long: Side::default() }
     }
 
     /// Changes the policy.
@@ -140,10 +134,7 @@
         }
         let wait = self.wait(class, usable);
         if now + wait + service > ticket.deadline {
-            return (
-                Entry::Refused(Refusal::TooLate, self.retry_after(class, usable)),
-                None,
-            );
+            return (Entry::Refused(Refusal::TooLate, self.retry_after(class, usable)), None);
         }
         let limit = usable as usize * usize::from(self.policy.queue_per_slot);
         let mut displaced = None;
@@ -153,11 +144,7 @@
             let Some(other) = queue.displace(&ticket.tenant, ticket.weight) else {
                 return (Entry::Refused(Refusal::QueueFull, retry_after), None);
             };
-            displaced = Some(Settled::Refused(
-                other.attempt,
-                Refusal::Displaced,
-                retry_after,
-            ));
+            displaced = Some(Settled::Refused(other.attempt, Refusal::Displaced, retry_after));
         }
         self.side_mut(class).queue.push(ticket);
         (Entry::Queued, displaced)
@@ -178,11 +165,7 @@
 
     /// Takes a waiting ticket back; tells whether it was waiting.
     pub fn remove(&mut self, attempt: AttemptId) -> bool {
-        self.short
-            .queue
-            .remove(attempt)
-            .or_else(|| self.long.queue.remove(attempt))
-            .is_some()
+        self.short.queue.remove(attempt).or_else(|| self.long.queue.remove(attempt)).is_some()
     }
 
     /// Refuses what can no longer be done in time and fills slots that a ramp
@@ -193,10 +176,7 @@
             let usable = self.usable(now);
             let retry_after = self.retry_after(class, usable);
             let service = self.service(class);
-            let late = self
-                .side_mut(class)
-                .queue
-                .extract(|t| now + service > t.deadline);
+            let late = self.side_mut(class).queue.extract(|t| now + service > t.deadline);
             let refuse = |t: Ticket| Settled::Refused(t.attempt, Refusal::TooLate, retry_after);
             settled.extend(late.into_iter().map(refuse));
         }
@@ -224,11 +204,7 @@
                 break;
             };
             if now + service > ticket.deadline {
-                settled.push(Settled::Refused(
-                    ticket.attempt,
-                    Refusal::TooLate,
-                    retry_after,
-                ));
+                settled.push(Settled::Refused(ticket.attempt, Refusal::TooLate, retry_after));
                 continue;
             }
             side.running += 1;
@@ -317,11 +293,7 @@
     const NOW: Duration = Duration::from_secs(100);
 
     fn gate(slots: u32) -> Gate {
-        let policy = Policy {
-            ramp_ms: 0,
-            queue_per_slot: 2,
-            ..Policy::default()
-        };
+        let policy = Policy { ramp_ms: 0, queue_per_slot: 2, ..Policy::default() };
         Gate::new(slots, policy, Duration::ZERO)
     }
 
@@ -338,14 +310,10 @@
     #[test]
     fn long_work_leaves_slots_to_short_work() {
         let mut gate = gate(4);
-        let entries: Vec<Entry> = (0..3)
-            .map(|id| gate.arrive(NOW, ticket(id, Class::Long, 1_000)).0)
-            .collect();
+        let entries: Vec<Entry> =
+            (0..3).map(|id| gate.arrive(NOW, ticket(id, Class::Long, 1_000)).0).collect();
         assert_eq!(entries, [Entry::Run, Entry::Run, Entry::Queued]);
-        assert_eq!(
-            gate.arrive(NOW, ticket(9, Class::Short, 1_000)).0,
-            Entry::Run
-        );
+        assert_eq!(gate.arrive(NOW, ticket(9, Class::Short, 1_000)).0, Entry::Run);
     }
 
     #[test]
@@ -354,10 +322,7 @@
         gate.arrive(NOW, ticket(1, Class::Short, 1_000));
         gate.arrive(NOW, ticket(2, Class::Short, 1_000));
         gate.arrive(NOW, ticket(3, Class::Long, 1_000));
-        assert_eq!(
-            gate.leave(NOW, Class::Short, None),
-            [Settled::Run(AttemptId(3))]
-        );
+        assert_eq!(gate.leave(NOW, Class::Short, None), [Settled::Run(AttemptId(3))]);
     }
 
     #[test]
@@ -367,28 +332,16 @@
         gate.leave(NOW, Class::Short, Some(Duration::from_millis(100)));
         gate.arrive(NOW, ticket(2, Class::Short, 1_000));
         let (entry, _) = gate.arrive(NOW, ticket(3, Class::Short, 150));
-        assert_eq!(
-            entry,
-            Entry::Refused(Refusal::TooLate, Duration::from_millis(100))
-        );
-        assert_eq!(
-            gate.arrive(NOW, ticket(4, Class::Short, 250)).0,
-            Entry::Queued
-        );
+        assert_eq!(entry, Entry::Refused(Refusal::TooLate, Duration::from_millis(100)));
+        assert_eq!(gate.arrive(NOW, ticket(4, Class::Short, 250)).0, Entry::Queued);
         let later = NOW + Duration::from_millis(200);
         let refused = gate.sweep(later);
-        assert!(matches!(
-            refused[..],
-            [Settled::Refused(AttemptId(4), Refusal::TooLate, _)]
-        ));
+        assert!(matches!(refused[..], [Settled::Refused(AttemptId(4), Refusal::TooLate, _)]));
     }
 
     #[test]
     fn a_new_target_opens_slot_by_slot() {
-        let policy = Policy {
-            ramp_ms: 1_000,
-            ..Policy::default()
-        };
+        let policy = Policy { ramp_ms: 1_000, ..Policy::default() };
         let mut gate = Gate::new(10, policy, NOW);
         assert_eq!(gate.load(NOW).slots, 1);
         assert_eq!(gate.load(NOW + Duration::from_millis(500)).slots, 5);
--- a/crates/medlarpoint_routing/src/hedge.rs
+++ b/crates/medlarpoint_routing/src/hedge.rs
@@ -26,11 +26,7 @@
 impl Default for Hedge {
     fn default() -> Self {
         let empty = Histogram::new_with_max(MAX_MICROS, 2).expect("valid bounds");
-        Self {
-            current: empty.clone(),
-            previous: empty,
-            turned: Duration::ZERO,
-        }
+        Self { current: empty.clone(), previous: empty, turned: Duration::ZERO }
     }
 }
 
@@ -49,11 +45,8 @@
     /// Returns the wait before a second attempt; `None` while too little is
     /// known.
     pub fn delay(&self) -> Option<Duration> {
-        let best = if self.previous.len() >= MIN_OBSERVATIONS {
-            &self.previous
-        } else {
-            &self.current
-        };
+        let best =
+            if self.previous.len() >= MIN_OBSERVATIONS { &self.previous } else { &self.current };
         if best.len() < MIN_OBSERVATIONS {
             return None;
         }
--- a/crates/medlarpoint_routing/src/intake.rs
+++ b/crates/medlarpoint_routing/src/intake.rs
@@ -179,12 +179,7 @@
             return vec![reply(attempt, Reply::Unknown(Point::Sent))];
         }
         if self.fence.contains(attempt) || now >= head.deadline {
-            return vec![not_run(
-                attempt,
-                Point::Refused,
-                Some(Refusal::TooLate),
-                RETRY_AFTER,
-            )];
+            return vec![not_run(attempt, Point::Refused, Some(Refusal::TooLate), RETRY_AFTER)];
         }
         if let Some(key) = head.key
             && let Some(actions) = self.known_key(attempt, key)
@@ -206,10 +201,9 @@
                 joined.push(attempt);
                 Some(Vec::new())
             }
-            Slot::Ran {
-                answer: Some(answer),
-                ..
-            } => Some(vec![reply(attempt, Reply::Replay(answer.clone()))]),
+            Slot::Ran { answer: Some(answer), .. } => {
+                Some(vec![reply(attempt, Reply::Replay(answer.clone()))])
+            }
             Slot::Ran { answer: None, .. } => Some(vec![reply(attempt, Reply::Ran)]),
             Slot::Lost { .. } => Some(vec![reply(attempt, Reply::Unknown(Point::TargetLost))]),
             Slot::Claimed { .. } => None,
@@ -244,14 +238,7 @@
         if let Some(key) = head.key {
             self.window.activate(key, head.attempt);
         }
-        self.jobs.insert(
-            head.attempt,
-            Job {
-                head,
-                phase,
-                abandoned: false,
-            },
-        );
+        self.jobs.insert(head.attempt, Job { head, phase, abandoned: false });
     }
 
     /// Starts an attempt that holds a slot.
@@ -320,11 +307,7 @@
         }
         if let Some(key) = job.head.key {
             let waiting = self.window.settle(now, key, end);
-            actions.extend(
-                waiting
-                    .into_iter()
-                    .map(|other| reply(other, joined.clone())),
-            );
+            actions.extend(waiting.into_iter().map(|other| reply(other, joined.clone())));
         }
         actions.extend(self.free(now, &job));
         actions
@@ -404,10 +387,8 @@
             return Vec::new();
         };
         let waiting = job.head.key.map(|key| {
-            let claimed = matches!(
-                self.window.get_mut(key),
-                Some(Slot::Active { claimed: true, .. })
-            );
+            let claimed =
+                matches!(self.window.get_mut(key), Some(Slot::Active { claimed: true, .. }));
             if claimed {
                 self.window.settle(now, key, End::Claimed)
             } else {
@@ -415,9 +396,8 @@
             }
         });
         let waiting = waiting.into_iter().flatten().chain([attempt]);
-        let mut actions: Vec<Action<A>> = waiting
-            .map(|one| not_run(one, point, None, RETRY_AFTER))
-            .collect();
+        let mut actions: Vec<Action<A>> =
+            waiting.map(|one| not_run(one, point, None, RETRY_AFTER)).collect();
         actions.extend(self.free(now, &job));
         actions
     }
@@ -464,12 +444,5 @@
     refusal: Option<Refusal>,
     retry_after: Duration,
 ) -> Action<A> {
-    reply(
-        attempt,
-        Reply::NotRun {
-            point,
-            refusal,
-            retry_after,
-        },
-    )
+    reply(attempt, Reply::NotRun { point, refusal, retry_after })
 }
--- a/crates/medlarpoint_routing/src/picker.rs
+++ b/crates/medlarpoint_routing/src/picker.rs
@@ -122,12 +122,7 @@
     /// Creates a picker without targets.
     pub fn new(strategy: Strategy, seed: u64) -> Self {
         let rng = StdRng::seed_from_u64(seed);
-        Self {
-            strategy,
-            targets: IndexMap::new(),
-            turn: 0,
-            rng,
-        }
+        Self { strategy, targets: IndexMap::new(), turn: 0, rng }
     }
 
     /// Replaces the targets, keeping what is known of those that stay.
@@ -185,15 +180,9 @@
             bytes.extend_from_slice(vm.as_str().as_bytes());
             rapidhash::v3::rapidhash_v3(&bytes)
         };
-        let free = self
-            .targets
-            .values()
-            .filter(|s| !exclude.contains(&s.endpoint.choice.vm));
+        let free = self.targets.values().filter(|s| !exclude.contains(&s.endpoint.choice.vm));
         let chosen = free.min_by_key(|s| {
-            (
-                s.endpoint.locality == Locality::Remote,
-                weight(&s.endpoint.choice.vm),
-            )
+            (s.endpoint.locality == Locality::Remote, weight(&s.endpoint.choice.vm))
         })?;
         Some(chosen.endpoint.choice.clone())
     }
@@ -204,14 +193,7 @@
             return;
         };
         let generation = state.breaker.sent(now);
-        state.outstanding.insert(
-            attempt,
-            Outstanding {
-                since: now,
-                class,
-                generation,
-            },
-        );
+        state.outstanding.insert(attempt, Outstanding { since: now, class, generation });
     }
 
     /// Notes that a target answered an attempt, with its load.
@@ -229,10 +211,7 @@
             return;
         };
         let latency = now.saturating_sub(sent.since);
-        let slow = state
-            .latency(sent.class)
-            .value()
-            .is_some_and(|usual| latency > usual * 4);
+        let slow = state.latency(sent.class).value().is_some_and(|usual| latency > usual * 4);
         state.breaker.ended(now, sent.generation, !slow);
         state.latency_mut(sent.class).observe(now, latency);
         state.answered_at = now;
@@ -263,11 +242,7 @@
         };
         let age = now.saturating_sub(sent.since);
         state.breaker.ended(now, sent.generation, false);
-        if state
-            .latency(sent.class)
-            .value()
-            .is_some_and(|usual| age > usual)
-        {
+        if state.latency(sent.class).value().is_some_and(|usual| age > usual) {
             state.latency_mut(sent.class).observe(now, age);
         }
     }
@@ -284,9 +259,7 @@
         if state.failures < EJECT_FAILURES {
             return;
         }
-        let time = EJECT_TIME
-            .saturating_mul(1 << state.ejections.min(8))
-            .min(MAX_EJECT_TIME);
+        let time = EJECT_TIME.saturating_mul(1 << state.ejections.min(8)).min(MAX_EJECT_TIME);
         state.ejections += 1;
         state.ejected_until = now + time;
     }
@@ -339,19 +312,13 @@
     let mut second = rng.random_range(0..states.len() - 1);
     second += usize::from(second >= first);
     let (a, b) = (states[first], states[second]);
-    Some(if a.wait(now, class) <= b.wait(now, class) {
-        a
-    } else {
-        b
-    })
+    Some(if a.wait(now, class) <= b.wait(now, class) { a } else { b })
 }
 
 /// Returns the median latency of the targets that have answered.
 fn usual_latency(states: &[&State], class: Class) -> Option<Duration> {
-    let mut known: Vec<Duration> = states
-        .iter()
-        .filter_map(|state| state.latency(class).value())
-        .collect();
+    let mut known: Vec<Duration> =
+        states.iter().filter_map(|state| state.latency(class).value()).collect();
     known.sort_unstable();
     known.get(known.len().checked_sub(1)? / 2).copied()
 }
@@ -397,11 +364,7 @@
 
     fn slots(&self) -> f64 {
         let ramping = self.load.slots > 0 && self.load.slots < self.endpoint.slots;
-        let slots = if ramping {
-            self.load.slots
-        } else {
-            self.endpoint.slots
-        };
+        let slots = if ramping { self.load.slots } else { self.endpoint.slots };
         f64::from(slots.max(1))
     }
 
@@ -411,9 +374,7 @@
 
     fn oldest(&self, now: Duration, class: Class) -> Duration {
         let same = self.outstanding.values().filter(|o| o.class == class);
-        same.map(|o| now.saturating_sub(o.since))
-            .max()
-            .unwrap_or_default()
+        same.map(|o| now.saturating_sub(o.since)).max().unwrap_or_default()
     }
 
     /// Latency that a new attempt may expect of the target itself. An attempt
@@ -421,13 +382,8 @@
     fn service(&self, now: Duration, class: Class) -> Duration {
         let idle = now.saturating_sub(self.answered_at).as_secs_f64();
         let weight = (-idle / LATENCY_DECAY.as_secs_f64()).exp();
-        let learnt = self
-            .latency(class)
-            .value()
-            .map(|usual| usual.mul_f64(weight));
-        learnt
-            .unwrap_or(UNKNOWN_LATENCY)
-            .max(self.oldest(now, class))
+        let learnt = self.latency(class).value().map(|usual| usual.mul_f64(weight));
+        learnt.unwrap_or(UNKNOWN_LATENCY).max(self.oldest(now, class))
     }
 
     fn straggles(&self, now: Duration, class: Class, usual: Option<Duration>) -> bool {
--- a/crates/medlarpoint_routing/src/recent.rs
+++ b/crates/medlarpoint_routing/src/recent.rs
@@ -42,11 +42,7 @@
     }
 
     pub(crate) fn collect(&mut self, now: Duration) {
-        while self
-            .order
-            .front()
-            .is_some_and(|(at, _)| *at + RETENTION < now)
-        {
+        while self.order.front().is_some_and(|(at, _)| *at + RETENTION < now) {
             self.forget_oldest();
         }
     }
--- a/crates/medlarpoint_routing/src/table.rs
+++ b/crates/medlarpoint_routing/src/table.rs
@@ -30,22 +30,13 @@
         let default = Arc::new(Policy::default());
         let mut routes = Self::default();
         for route in snapshot.routes() {
-            let policy = snapshot
-                .service(&route.service)
-                .and_then(|s| s.policy.as_ref());
+            let policy = snapshot.service(&route.service).and_then(|s| s.policy.as_ref());
             let policy = policy.and_then(|name| snapshot.policy(name));
             let policy = policy.map_or_else(|| Arc::clone(&default), |p| Arc::new(p.clone()));
-            let plan = Arc::new(Plan {
-                route: route.clone(),
-                policy,
-            });
+            let plan = Arc::new(Plan { route: route.clone(), policy });
             match &route.matcher.host {
                 Some(host) => {
-                    routes
-                        .by_host
-                        .entry(host.to_ascii_lowercase())
-                        .or_default()
-                        .push(plan);
+                    routes.by_host.entry(host.to_ascii_lowercase()).or_default().push(plan);
                 }
                 None => routes.any_host.push(plan),
             }
@@ -66,9 +57,7 @@
         let host = host.map(strip_port).map(str::to_ascii_lowercase);
         let exact = host.and_then(|host| self.by_host.get(&host));
         let candidates = exact.into_iter().flatten().chain(&self.any_host);
-        candidates
-            .into_iter()
-            .find(|plan| matches(&plan.route, method, path, headers))
+        candidates.into_iter().find(|plan| matches(&plan.route, method, path, headers))
     }
 }
 
@@ -86,10 +75,7 @@
         let prefix = matcher.path_prefix.as_ref().map_or(0, String::len);
         let headers = matcher.headers.len();
         let methods = u8::from(!matcher.methods.is_empty());
-        (
-            std::cmp::Reverse((prefix, headers, methods)),
-            plan.route.name.clone(),
-        )
+        (std::cmp::Reverse((prefix, headers, methods)), plan.route.name.clone())
     });
 }
 
@@ -97,14 +83,9 @@
     let matcher = &route.matcher;
     let method_fits =
         matcher.methods.is_empty() || matcher.methods.iter().any(|m| m == method.as_str());
-    let path_fits = matcher
-        .path_prefix
-        .as_ref()
-        .is_none_or(|prefix| has_prefix(path, prefix));
+    let path_fits = matcher.path_prefix.as_ref().is_none_or(|prefix| has_prefix(path, prefix));
     let header_fits = |(name, value): (&String, &String)| {
-        headers
-            .get(name)
-            .is_some_and(|found| found.as_bytes() == value.as_bytes())
+        headers.get(name).is_some_and(|found| found.as_bytes() == value.as_bytes())
     };
     method_fits && path_fits && matcher.headers.iter().all(header_fits)
 }
@@ -157,8 +138,7 @@
             headers.insert("x-kind", kind.parse().unwrap());
         }
         let plan = routes.find(Some(host), method, path, &headers);
-        plan.map(|plan| plan.route.name.to_string())
-            .unwrap_or_default()
+        plan.map(|plan| plan.route.name.to_string()).unwrap_or_default()
     }
 
     #[test]
--- a/crates/medlarpoint_routing/src/window.rs
+++ b/crates/medlarpoint_routing/src/window.rs
@@ -15,11 +15,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Slot<A> {
     /// An attempt is under way; others wait for its outcome.
-    Active {
-        attempt: AttemptId,
-        joined: Vec<AttemptId>,
-        claimed: bool,
-    },
+    Active { attempt: AttemptId, joined: Vec<AttemptId>, claimed: bool },
     /// It ran; the answer is kept if it was small.
     Ran { answer: Option<A>, until: Duration },
     /// It may have run.
@@ -48,9 +44,7 @@
 
 impl<A> Default for Window<A> {
     fn default() -> Self {
-        Self {
-            slots: IndexMap::new(),
-        }
+        Self { slots: IndexMap::new() }
     }
 }
 
@@ -67,14 +61,7 @@
     /// key had been claimed earlier.
     pub(crate) fn activate(&mut self, key: IdempotencyKey, attempt: AttemptId) -> bool {
         let claimed = matches!(self.slots.get(&key), Some(Slot::Claimed { .. }));
-        self.slots.insert(
-            key,
-            Slot::Active {
-                attempt,
-                joined: Vec::new(),
-                claimed,
-            },
-        );
+        self.slots.insert(key, Slot::Active { attempt, joined: Vec::new(), claimed });
         claimed
     }
 
--- a/crates/medlarpoint_standin/src/bin/medlarpoint-standin.rs
+++ b/crates/medlarpoint_standin/src/bin/medlarpoint-standin.rs
@@ -93,39 +93,16 @@
 
 async fn run(command: Command) -> std::io::Result<()> {
     match command {
-        Command::Store {
-            listen,
-            delay_ms,
-            lose_answers_percent,
-            seed,
-        } => {
+        Command::Store { listen, delay_ms, lose_answers_percent, seed } => {
             let store = StoreServer::start(listen, seed).await?;
-            store.set_faults(Faults {
-                delay_ms,
-                lose_answers_percent,
-                ..Faults::default()
-            });
+            store.set_faults(Faults { delay_ms, lose_answers_percent, ..Faults::default() });
             println!("store on {}", store.address());
             tokio::signal::ctrl_c().await?;
             store.close();
         }
-        Command::Target {
-            listen,
-            api,
-            service,
-            slots,
-            service_us,
-        } => {
-            let pace = Pace {
-                service: Duration::from_micros(service_us),
-                slow: 1.0,
-            };
-            let options = TargetOptions {
-                name: service.to_string(),
-                slots,
-                pace,
-                seed: 1,
-            };
+        Command::Target { listen, api, service, slots, service_us } => {
+            let pace = Pace { service: Duration::from_micros(service_us), slow: 1.0 };
+            let options = TargetOptions { name: service.to_string(), slots, pace, seed: 1 };
             let target = TargetServer::start(listen, options, Ledger::default()).await?;
             println!("target of {service} on {}", target.address());
             let announcer = Announcer::start(api, service, target.address(), slots);
@@ -133,25 +110,9 @@
             announcer.close();
             target.close();
         }
-        Command::Caller {
-            address,
-            host,
-            path,
-            method,
-            rate,
-            seconds,
-            keyed,
-        } => {
+        Command::Caller { address, host, path, method, rate, seconds, keyed } => {
             let headers = Vec::new();
-            let kind = Kind {
-                name: "call",
-                weight: 1,
-                method,
-                path,
-                host,
-                headers,
-                keyed,
-            };
+            let kind = Kind { name: "call", weight: 1, method, path, host, headers, keyed };
             let duration = Duration::from_secs(seconds);
             let load = Load {
                 addresses: address,
--- a/crates/medlarpoint_standin/src/http.rs
+++ b/crates/medlarpoint_standin/src/http.rs
@@ -44,9 +44,8 @@
     pub fn new(timeout: Duration) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new())
-            .pool_max_idle_per_host(256)
-            .build(connector);
+        let client =
+            Client::builder(TokioExecutor::new()).pool_max_idle_per_host(256).build(connector);
         Self { client, timeout }
     }
 
@@ -56,10 +55,7 @@
             let response = self.client.request(request).await;
             let response = response.map_err(|e| HttpError::Broken(format!("{e:?}")))?;
             let (parts, body) = response.into_parts();
-            let body = body
-                .collect()
-                .await
-                .map_err(|e| HttpError::Broken(e.to_string()))?;
+            let body = body.collect().await.map_err(|e| HttpError::Broken(e.to_string()))?;
             Ok(Response::from_parts(parts, body.to_bytes()))
         };
         let result = tokio::time::timeout(self.timeout, exchange).await;
@@ -130,9 +126,7 @@
                 });
                 let builder = auto::Builder::new(TokioExecutor::new());
                 // A broken connection is the other end's to notice.
-                let _ = builder
-                    .serve_connection(TokioIo::new(stream), service)
-                    .await;
+                let _ = builder.serve_connection(TokioIo::new(stream), service).await;
             });
             while connections.try_join_next().is_some() {}
         }
@@ -153,8 +147,5 @@
 
 /// Reads a whole request body, or an empty one if it breaks off.
 pub(crate) async fn read(body: Incoming) -> Bytes {
-    body.collect()
-        .await
-        .map(http_body_util::Collected::to_bytes)
-        .unwrap_or_default()
+    body.collect().await.map(http_body_util::Collected::to_bytes).unwrap_or_default()
 }
--- a/crates/medlarpoint_standin/src/ledger.rs
+++ b/crates/medlarpoint_standin/src/ledger.rs
@@ -23,10 +23,7 @@
 impl Ledger {
     /// Notes an execution.
     pub fn record(&self, run: Run) {
-        self.lock()
-            .entry(run.request.clone())
-            .or_default()
-            .push(run);
+        self.lock().entry(run.request.clone()).or_default().push(run);
     }
 
     /// Returns how often a request ran.
@@ -37,9 +34,7 @@
     /// Returns the number of keyed requests that ran more than once.
     pub fn doubled(&self) -> usize {
         let runs = self.lock();
-        runs.values()
-            .filter(|runs| runs.len() > 1 && runs.iter().any(|run| run.keyed))
-            .count()
+        runs.values().filter(|runs| runs.len() > 1 && runs.iter().any(|run| run.keyed)).count()
     }
 
     /// Returns the number of executions.
--- a/crates/medlarpoint_standin/src/load.rs
+++ b/crates/medlarpoint_standin/src/load.rs
@@ -213,9 +213,5 @@
     let took = sent.elapsed();
     let second = start.elapsed().as_secs();
     let mut report = report.lock().unwrap_or_else(PoisonError::into_inner);
-    report
-        .kinds
-        .entry(kind.name)
-        .or_default()
-        .add(id, took, second, &result);
+    report.kinds.entry(kind.name).or_default().add(id, took, second, &result);
 }
--- a/crates/medlarpoint_standin/src/store.rs
+++ b/crates/medlarpoint_standin/src/store.rs
@@ -94,11 +94,7 @@
             start: Instant::now(),
         });
         let task = serve(listener, Arc::clone(&state), handle);
-        Ok(Self {
-            address,
-            state,
-            task,
-        })
+        Ok(Self { address, state, task })
     }
 
     /// Returns the address.
@@ -148,17 +144,11 @@
         }
         (Method::GET, "/control/stats") => {
             let stats = *lock(&state.stats);
-            return Some(answer(
-                StatusCode::OK,
-                serde_json::to_vec(&stats).unwrap_or_default(),
-            ));
+            return Some(answer(StatusCode::OK, serde_json::to_vec(&stats).unwrap_or_default()));
         }
         _ => {}
     }
-    let Some(key) = path
-        .strip_prefix("/v1/kv/")
-        .and_then(|key| key.parse::<Key>().ok())
-    else {
+    let Some(key) = path.strip_prefix("/v1/kv/").and_then(|key| key.parse::<Key>().ok()) else {
         return Some(answer(StatusCode::NOT_FOUND, "no such key"));
     };
     let faults = *lock(&state.faults);
@@ -193,15 +183,11 @@
 
 fn parse_query(text: &str) -> IndexMap<String, String> {
     let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
-    pairs
-        .map(|(name, value)| (name.to_owned(), value.to_owned()))
-        .collect()
+    pairs.map(|(name, value)| (name.to_owned(), value.to_owned())).collect()
 }
 
 fn with_revision(mut response: Response<Full<Bytes>>, revision: Revision) -> Response<Full<Bytes>> {
-    response
-        .headers_mut()
-        .insert(REVISION_HEADER, HeaderValue::from(revision.0));
+    response.headers_mut().insert(REVISION_HEADER, HeaderValue::from(revision.0));
     response
 }
 
@@ -216,14 +202,8 @@
     query: &IndexMap<String, String>,
 ) -> Response<Full<Bytes>> {
     lock(&state.stats).watches += 1;
-    let after = query
-        .get("after")
-        .and_then(|text| text.parse().ok())
-        .map(Revision);
-    let wait = query
-        .get("wait_ms")
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(0);
+    let after = query.get("after").and_then(|text| text.parse().ok()).map(Revision);
+    let wait = query.get("wait_ms").and_then(|text| text.parse().ok()).unwrap_or(0);
     let mut written = state.written.subscribe();
     let deadline = tokio::time::Instant::now() + Duration::from_millis(wait).min(MAX_WAIT);
     loop {
@@ -266,9 +246,7 @@
     let result = {
         let mut table = lock(&state.table);
         if delete {
-            table
-                .delete(key, expected, now)
-                .map(|()| Revision::default())
+            table.delete(key, expected, now).map(|()| Revision::default())
         } else {
             table.swap(key, expected, value, lease, now)
         }
@@ -284,9 +262,7 @@
         Ok(revision) => with_revision(answer(StatusCode::OK, ""), revision),
         Err(Refusal::Conflict(current)) => {
             let response = answer(StatusCode::PRECONDITION_FAILED, "");
-            current.map_or(response.clone(), |revision| {
-                with_revision(response, revision)
-            })
+            current.map_or(response.clone(), |revision| with_revision(response, revision))
         }
         Err(refusal @ Refusal::TooLarge) => {
             answer(StatusCode::PAYLOAD_TOO_LARGE, refusal.to_string())
--- a/crates/medlarpoint_standin/src/target.rs
+++ b/crates/medlarpoint_standin/src/target.rs
@@ -56,9 +56,7 @@
 
 impl std::fmt::Debug for State {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("State")
-            .field("options", &self.options)
-            .finish_non_exhaustive()
+        f.debug_struct("State").field("options", &self.options).finish_non_exhaustive()
     }
 }
 
@@ -88,11 +86,7 @@
             options,
         });
         let task = serve(listener, Arc::clone(&state), handle);
-        Ok(Self {
-            address,
-            state,
-            task,
-        })
+        Ok(Self { address, state, task })
     }
 
     /// Returns the address.
@@ -102,11 +96,7 @@
 
     /// Makes the target slower or faster from now on.
     pub fn set_slow(&self, factor: f64) {
-        self.state
-            .pace
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .slow = factor;
+        self.state.pace.lock().unwrap_or_else(PoisonError::into_inner).slow = factor;
     }
 
     /// Returns the number of requests it has begun.
@@ -131,17 +121,10 @@
         return None;
     };
     state.served.fetch_add(1, Ordering::Relaxed);
-    let identity = parts
-        .headers
-        .get("x-request-id")
-        .and_then(|v| v.to_str().ok());
+    let identity = parts.headers.get("x-request-id").and_then(|v| v.to_str().ok());
     if let Some(request) = identity {
         let keyed = parts.headers.contains_key("idempotency-key");
-        let run = Run {
-            keyed,
-            request: request.to_owned(),
-            target: state.options.name.clone(),
-        };
+        let run = Run { keyed, request: request.to_owned(), target: state.options.name.clone() };
         state.ledger.record(run);
     }
     let pace = *state.pace.lock().unwrap_or_else(PoisonError::into_inner);
@@ -155,12 +138,7 @@
         tokio::time::sleep(work).await;
     }
     let size = number(&parts.headers, "x-answer-bytes").unwrap_or(0) as usize;
-    let mut text = format!(
-        "{} {} {}\n",
-        state.options.name,
-        identity.unwrap_or("-"),
-        body.len()
-    );
+    let mut text = format!("{} {} {}\n", state.options.name, identity.unwrap_or("-"), body.len());
     text.extend(std::iter::repeat_n('.', size.saturating_sub(text.len())));
     Some(answer(StatusCode::OK, text))
 }
@@ -175,21 +153,12 @@
     /// Starts to announce.
     pub fn start(api: SocketAddr, service: Name, address: SocketAddr, slots: u32) -> Self {
         let http = Http::new(Duration::from_secs(1));
-        let target = Target {
-            service,
-            address,
-            slots,
-            connections: slots.max(120),
-        };
+        let target = Target { service, address, slots, connections: slots.max(120) };
         let task = tokio::spawn(async move {
             loop {
                 // A daemon that does not answer is asked again.
                 let sent = http.json(Method::PUT, api, "/v1/target", &target).await;
-                let wait = if sent.is_ok() {
-                    ANNOUNCE_PERIOD
-                } else {
-                    ANNOUNCE_PERIOD / 10
-                };
+                let wait = if sent.is_ok() { ANNOUNCE_PERIOD } else { ANNOUNCE_PERIOD / 10 };
                 tokio::time::sleep(wait).await;
             }
         });
--- a/crates/medlarpoint_store/src/client.rs
+++ b/crates/medlarpoint_store/src/client.rs
@@ -67,9 +67,7 @@
 
 impl fmt::Debug for Client {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Client")
-            .field("endpoints", &self.endpoints)
-            .finish_non_exhaustive()
+        f.debug_struct("Client").field("endpoints", &self.endpoints).finish_non_exhaustive()
     }
 }
 
@@ -115,10 +113,7 @@
             return Err(Error::Unavailable("no endpoint is set".to_owned()));
         };
         let uri = format!("http://{}{path}", endpoint.0);
-        let request = Request::builder()
-            .method(method)
-            .uri(uri)
-            .body(Full::new(body));
+        let request = Request::builder().method(method).uri(uri).body(Full::new(body));
         let request = request.map_err(|e| Error::Unavailable(e.to_string()))?;
         let exchange = async {
             let response = self.http.request(request).await.map_err(|e| classify(&e))?;
@@ -126,10 +121,7 @@
         };
         let result = match tokio::time::timeout(timeout, exchange).await {
             Ok(result) => result,
-            Err(_) => Err(Error::Unknown(format!(
-                "no answer within {} ms",
-                timeout.as_millis()
-            ))),
+            Err(_) => Err(Error::Unknown(format!("no answer within {} ms", timeout.as_millis()))),
         };
         if result.is_err() {
             self.next.fetch_add(1, Ordering::Relaxed);
@@ -152,12 +144,8 @@
 ) -> Result<(StatusCode, Option<Revision>, Bytes), Error> {
     let status = response.status();
     let revision = response.headers().get(REVISION_HEADER);
-    let revision = revision
-        .and_then(|v| v.to_str().ok()?.parse().ok())
-        .map(Revision);
-    let body = Limited::new(response.into_body(), MAX_VALUE_BYTES)
-        .collect()
-        .await;
+    let revision = revision.and_then(|v| v.to_str().ok()?.parse().ok()).map(Revision);
+    let body = Limited::new(response.into_body(), MAX_VALUE_BYTES).collect().await;
     let body = body.map_err(|e| Error::Unknown(e.to_string()))?.to_bytes();
     match status {
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
@@ -177,9 +165,7 @@
 
 fn item(revision: Option<Revision>, value: Bytes) -> Result<Option<Item>, Error> {
     let Some(revision) = revision else {
-        return Err(Error::Unavailable(format!(
-            "answer lacks the {REVISION_HEADER} header"
-        )));
+        return Err(Error::Unavailable(format!("answer lacks the {REVISION_HEADER} header")));
     };
     Ok(Some(Item { value, revision }))
 }
@@ -188,9 +174,8 @@
     async fn get(&self, key: &Key) -> Result<Option<Item>, Error> {
         self.calls.reads.fetch_add(1, Ordering::Relaxed);
         let path = format!("/v1/kv/{key}");
-        let (status, revision, value) = self
-            .call(Method::GET, path, Bytes::new(), self.timeout)
-            .await?;
+        let (status, revision, value) =
+            self.call(Method::GET, path, Bytes::new(), self.timeout).await?;
         match status {
             StatusCode::OK => item(revision, value),
             StatusCode::NOT_FOUND => Ok(None),
@@ -206,15 +191,10 @@
         lease: Option<Duration>,
     ) -> Result<Revision, Error> {
         if value.len() > MAX_VALUE_BYTES {
-            return Err(Error::TooLarge {
-                bytes: value.len(),
-                limit: MAX_VALUE_BYTES,
-            });
+            return Err(Error::TooLarge { bytes: value.len(), limit: MAX_VALUE_BYTES });
         }
         self.calls.writes.fetch_add(1, Ordering::Relaxed);
-        let lease = lease
-            .map(|d| format!("&lease_ms={}", d.as_millis()))
-            .unwrap_or_default();
+        let lease = lease.map(|d| format!("&lease_ms={}", d.as_millis())).unwrap_or_default();
         let path = format!("/v1/kv/{key}?{}{lease}", condition(expected));
         let (status, revision, _) = self.call(Method::PUT, path, value, self.timeout).await?;
         match (status, revision) {
@@ -227,9 +207,8 @@
     async fn delete(&self, key: &Key, expected: Expected) -> Result<(), Error> {
         self.calls.writes.fetch_add(1, Ordering::Relaxed);
         let path = format!("/v1/kv/{key}?{}", condition(expected));
-        let (status, revision, _) = self
-            .call(Method::DELETE, path, Bytes::new(), self.timeout)
-            .await?;
+        let (status, revision, _) =
+            self.call(Method::DELETE, path, Bytes::new(), self.timeout).await?;
         match status {
             StatusCode::OK | StatusCode::NO_CONTENT => Ok(()),
             StatusCode::PRECONDITION_FAILED => Err(Error::Conflict { current: revision }),
@@ -244,11 +223,7 @@
         wait: Duration,
     ) -> Result<Option<Item>, Error> {
         self.calls.watches.fetch_add(1, Ordering::Relaxed);
-        let path = format!(
-            "/v1/kv/{key}?after={}&wait_ms={}",
-            after.0,
-            wait.as_millis()
-        );
+        let path = format!("/v1/kv/{key}?after={}&wait_ms={}", after.0, wait.as_millis());
         let limit = wait + WATCH_GRACE;
         let (status, revision, value) = self.call(Method::GET, path, Bytes::new(), limit).await?;
         match status {
--- a/crates/medlarpoint_store/src/table.rs
+++ b/crates/medlarpoint_store/src/table.rs
@@ -57,10 +57,7 @@
         self.last += 1;
         let revision = Revision(self.last);
         let expires_ms = lease_ms.map(|lease| now_ms + lease);
-        let slot = Slot {
-            item: Item { value, revision },
-            expires_ms,
-        };
+        let slot = Slot { item: Item { value, revision }, expires_ms };
         self.slots.insert(key.clone(), slot);
         Ok(revision)
     }
@@ -75,8 +72,7 @@
 
     /// Forgets values whose lease has run out.
     pub fn collect(&mut self, now_ms: u64) {
-        self.slots
-            .retain(|_, slot| slot.expires_ms.is_none_or(|at| at > now_ms));
+        self.slots.retain(|_, slot| slot.expires_ms.is_none_or(|at| at > now_ms));
     }
 
     /// Puts a backup back. Revisions go on rising: those of a store never repeat.
@@ -101,11 +97,7 @@
             Expected::Absent => current.is_none(),
             Expected::Revision(revision) => current == Some(revision),
         };
-        if holds {
-            Ok(())
-        } else {
-            Err(Refusal::Conflict(current))
-        }
+        if holds { Ok(()) } else { Err(Refusal::Conflict(current)) }
     }
 }
 
@@ -118,18 +110,12 @@
     fn swap_checks_the_revision_and_leases_run_out() {
         let key: Key = "a/b".parse().unwrap();
         let mut table = Table::default();
-        let first = table
-            .swap(&key, Expected::Absent, "1".into(), Some(10), 0)
-            .unwrap();
+        let first = table.swap(&key, Expected::Absent, "1".into(), Some(10), 0).unwrap();
         let again = table.swap(&key, Expected::Absent, "2".into(), None, 5);
         assert_eq!(again, Err(Refusal::Conflict(Some(first))));
         let stale = table.swap(&key, Expected::Revision(Revision(9)), "2".into(), None, 5);
         assert_eq!(stale, Err(Refusal::Conflict(Some(first))));
         assert!(table.get(&key, 10).is_none());
-        assert!(
-            table
-                .swap(&key, Expected::Absent, "3".into(), None, 10)
-                .is_ok()
-        );
+        assert!(table.swap(&key, Expected::Absent, "3".into(), None, 10).is_ok());
     }
 }
