Keep commits findable when the store falls back; tests in files of their own

The missing deltas are now written back with their ids. Where no reader has them any more, the head says up to which version ids are forgotten, and a resent commit from before ends as unknown, never as refused.

Each row of OUTCOMES.md now names its test; unit tests moved beside their modules into test files.

--- a/crates/medlarpoint_cli/src/arguments.rs
+++ b/crates/medlarpoint_cli/src/arguments.rs
@@ -55,6 +55,9 @@
         /// Identity of an earlier try whose outcome is unknown.
         #[arg(long)]
         commit: Option<CommitId>,
+        /// Version that was in force before the earlier try.
+        #[arg(long, default_value_t = 0, requires = "commit")]
+        since: u64,
     },
     /// Shows resources in force.
     Get {
--- a/crates/medlarpoint_cli/src/command.rs
+++ b/crates/medlarpoint_cli/src/command.rs
@@ -34,9 +34,11 @@
     #[error("{0}")]
     Key(String),
     #[error(
-        "{0}: whether the change took effect is not known; run the command again with --commit {1}"
+        "{0}: whether the change took effect is not known; \
+         run the command again with --commit {1} --since {since}",
+        since = .2.0
     )]
-    Unknown(String, CommitId),
+    Unknown(String, CommitId, Version),
     #[error("the answer cannot be shown: {0}")]
     Output(#[from] serde_json::Error),
 }
@@ -94,8 +96,9 @@
 impl Session {
     async fn dispatch(&self, command: Command) -> Result<Exit, Failure> {
         match command {
-            Command::Apply { file, author, force, wait, commit } => {
-                self.apply(&file, author, force, wait, commit).await
+            Command::Apply { file, author, force, wait, commit, since } => {
+                let earlier = commit.map(|commit| (commit, Version(since)));
+                self.apply(&file, author, force, wait, earlier).await
             }
             Command::Get { resource } => self.get(resource).await,
             Command::Diff { file } => self.diff(&file).await,
@@ -155,19 +158,15 @@
         author: String,
         force: bool,
         wait: bool,
-        commit: Option<CommitId>,
+        earlier: Option<(CommitId, Version)>,
     ) -> Result<Exit, Failure> {
         let document = read_document(file)?;
         let present: Resources = self.client.get("/v1/resources").await?;
         let edits = diff::edits(&diff::compare(&document, &present), force);
-        let resent = commit.is_some();
-        let commit = Commit {
-            commit: commit.unwrap_or_else(|| CommitId(rand::random())),
-            author,
-            since: if resent { Version::ZERO } else { present.version },
-            resent,
-            edits,
-        };
+        let resent = earlier.is_some();
+        let (commit, since) =
+            earlier.unwrap_or_else(|| (CommitId(rand::random()), present.version));
+        let commit = Commit { commit, author, since, resent, edits };
         let committed = self.commit(commit).await?;
         self.report(&committed)?;
         if !wait {
@@ -189,7 +188,8 @@
                 return Err(error.into());
             }
             if tries >= RESENDS {
-                return Err(Failure::Unknown(error.to_string(), commit.commit));
+                let reason = error.to_string();
+                return Err(Failure::Unknown(reason, commit.commit, commit.since));
             }
             tries += 1;
             commit.resent = true;
--- a/crates/medlarpoint_config/src/commit.rs
+++ b/crates/medlarpoint_config/src/commit.rs
@@ -248,6 +248,9 @@
         // The head has moved on without the commit: a lost write of it can no
         // longer succeed.
         self.pending = None;
+        if self.proposal.resent && self.proposal.since < self.head.forgotten {
+            return Action::Done(Outcome::Unknown(self.proposal.commit));
+        }
         if self.head.reaches(&self.local) {
             return self.plan();
         }
--- a/crates/medlarpoint_config/src/head.rs
+++ b/crates/medlarpoint_config/src/head.rs
@@ -30,6 +30,9 @@
     pub deltas: Vec<Arc<Delta>>,
     /// Last versions of the journal segments, oldest first.
     pub segments: Vec<Version>,
+    /// Commits up to this version can no longer be found by their ids.
+    #[serde(default)]
+    pub forgotten: Version,
 }
 
 /// Deltas that left the head.
@@ -79,6 +82,7 @@
             previous_checkpoint: Version::ZERO,
             deltas: Vec::new(),
             segments: Vec::new(),
+            forgotten: Version::ZERO,
         }
     }
 
@@ -130,7 +134,9 @@
         let mut segments = self.segments.clone();
         segments.push(self.version);
         let excess = segments.len().saturating_sub(MAX_SEGMENTS);
-        let mut garbage: Vec<Key> = segments.drain(..excess).map(segment_key).collect();
+        let dropped: Vec<Version> = segments.drain(..excess).collect();
+        let forgotten = dropped.last().copied().unwrap_or(self.forgotten);
+        let mut garbage: Vec<Key> = dropped.into_iter().map(segment_key).collect();
         if self.previous_checkpoint > Version::ZERO {
             garbage.push(checkpoint_key(self.previous_checkpoint));
         }
@@ -139,6 +145,7 @@
             previous_checkpoint: self.checkpoint,
             deltas: Vec::new(),
             segments,
+            forgotten,
             ..self.clone()
         };
         (head, garbage)
--- a/crates/medlarpoint_config/src/replica.rs
+++ b/crates/medlarpoint_config/src/replica.rs
@@ -74,6 +74,12 @@
         Tip { version: self.current.version, digest: self.current.digest }
     }
 
+    /// Iterates over the deltas at hand, oldest first; they lead to the version
+    /// in force.
+    pub fn recent(&self) -> impl Iterator<Item = &Arc<Delta>> {
+        self.recent.iter()
+    }
+
     /// Answers a peer.
     pub fn answer(&self, pull: &Pull) -> Update {
         if pull.have.version >= self.current.version {
--- a/crates/medlarpoint_config/src/restore.rs
+++ b/crates/medlarpoint_config/src/restore.rs
@@ -1,15 +1,21 @@
 //! Puts the version in force back into a store that has fallen behind.
 //!
 //! A store restored from a backup offers an older head. An accepted version
-//! never reverts, so a reader writes what the fleet has in force back.
+//! never reverts, so a reader writes what the fleet has in force back: the
+//! deltas that are missing, so that commits can still be found by their ids, or
+//! a checkpoint where the deltas are no longer at hand.
 
 use std::sync::Arc;
 
 use bytes::Bytes;
-use medlarpoint_model::{Snapshot, Version};
+use medlarpoint_model::{Delta, Snapshot, Version};
 use medlarpoint_store::{Error, Expected, Item, Revision};
 
-use crate::{Action, Head, Reply, checkpoint_key, head_key};
+use crate::{Action, Head, Replica, Reply, checkpoint_key, head_key};
+
+/// Largest head written back with its deltas, in bytes; below the store's limit
+/// for a value.
+const MAX_HEAD_BYTES: usize = 900_000;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Step {
@@ -22,16 +28,20 @@
 #[derive(Clone, Debug)]
 pub struct Restore {
     local: Arc<Snapshot>,
+    recent: Vec<Arc<Delta>>,
     head: Head,
     revision: Option<Revision>,
     step: Step,
 }
 
 impl Restore {
-    /// Starts to write `local` back if the head is older.
-    pub fn new(local: Arc<Snapshot>) -> (Self, Action) {
+    /// Starts to write the version in force on `replica` back if the head is
+    /// older.
+    pub fn new(replica: &Replica) -> (Self, Action) {
+        let local = Arc::clone(replica.current());
+        let recent = replica.recent().cloned().collect();
         let head = Head::empty();
-        let restore = Self { local, head, revision: None, step: Step::ReadHead };
+        let restore = Self { local, recent, head, revision: None, step: Step::ReadHead };
         (restore, Action::Get(head_key()))
     }
 
@@ -41,7 +51,8 @@
         match (self.step, reply) {
             (Step::ReadHead, Reply::Got(Ok(item))) => self.on_head(item),
             (Step::WriteCheckpoint, Reply::Swapped(Ok(_) | Err(Error::Conflict { .. }))) => {
-                Some(self.write_head())
+                let head = self.checkpointed();
+                Some(self.write_head(&head))
             }
             _ => None,
         }
@@ -55,6 +66,9 @@
         if self.head.version >= self.local.version {
             return None;
         }
+        if let Some(head) = self.extended() {
+            return Some(self.write_head(&head));
+        }
         self.step = Step::WriteCheckpoint;
         let value = rmp_serde::to_vec_named(&*self.local).ok()?;
         Some(Action::Swap {
@@ -64,16 +78,31 @@
         })
     }
 
-    fn write_head(&mut self) -> Action {
-        self.step = Step::WriteHead;
-        let head = Head {
+    /// Returns the stored head with the missing deltas, if they are at hand.
+    fn extended(&self) -> Option<Head> {
+        let follows = |delta: &Arc<Delta>| {
+            delta.version == self.head.version.next() && delta.base_digest == self.head.digest
+        };
+        let first = self.recent.iter().position(follows)?;
+        let missing = self.recent.iter().skip(first);
+        let head = missing.fold(self.head.clone(), |head, delta| head.push(Arc::clone(delta)));
+        (head.encode().len() <= MAX_HEAD_BYTES).then_some(head)
+    }
+
+    fn checkpointed(&self) -> Head {
+        Head {
             version: self.local.version,
             digest: self.local.digest,
             checkpoint: self.local.version,
             previous_checkpoint: Version::ZERO,
             deltas: Vec::new(),
             segments: self.head.segments.clone(),
-        };
+            forgotten: self.local.version,
+        }
+    }
+
+    fn write_head(&mut self, head: &Head) -> Action {
+        self.step = Step::WriteHead;
         Action::Swap {
             key: head_key(),
             expected: self.revision.map_or(Expected::Absent, Expected::Revision),
@@ -81,3 +110,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/medlarpoint_config/src/restore/tests.rs
@@ -0,0 +1,112 @@
+//! Tests of [`super`]: commits stay known by their ids when the store falls back.
+
+use std::sync::Arc;
+
+use medlarpoint_model::{Change, CommitId, Policy, Resource, Version};
+use medlarpoint_store::{Error, Refusal, Table};
+
+use super::Restore;
+use crate::{
+    Action, Attempt, Edit, Head, Outcome, Precondition, Proposal, Replica, Reply, head_key,
+};
+
+fn proposal(id: u128, resent: bool) -> Proposal {
+    let name = format!("p{id}").parse().unwrap();
+    let policy = Resource::Policy(Policy { name, ..Policy::default() });
+    Proposal {
+        commit: CommitId(id),
+        author: "operator".to_owned(),
+        at_ms: 0,
+        since: Version::ZERO,
+        resent,
+        edits: vec![Edit { change: Change::Put(policy), precondition: Precondition::Absent }],
+    }
+}
+
+fn call(table: &mut Table, action: &Action) -> Reply {
+    match action {
+        Action::Get(key) => Reply::Got(Ok(table.get(key, 0))),
+        Action::Swap { key, expected, value } => {
+            let result = table.swap(key, *expected, value.clone(), None, 0);
+            Reply::Swapped(result.map_err(|refusal| match refusal {
+                Refusal::Conflict(current) => Error::Conflict { current },
+                Refusal::TooLarge => Error::TooLarge { bytes: 0, limit: 0 },
+            }))
+        }
+        Action::Done(_) => panic!("the attempt is over"),
+    }
+}
+
+fn commit(table: &mut Table, replica: &Replica, proposal: Proposal) -> Outcome {
+    let (mut attempt, mut action) = Attempt::new(proposal, Arc::clone(replica.current()));
+    loop {
+        if let Action::Done(outcome) = action {
+            return outcome;
+        }
+        let reply = call(table, &action);
+        action = attempt.step(reply);
+    }
+}
+
+fn restore(table: &mut Table, replica: &Replica) {
+    let (mut restore, first) = Restore::new(replica);
+    let mut next = Some(first);
+    while let Some(action) = next {
+        let reply = call(table, &action);
+        next = restore.step(reply);
+    }
+}
+
+fn read(table: &Table, replica: &mut Replica) {
+    let item = table.get(&head_key(), 0).unwrap();
+    replica.offer_head(&Head::decode(&item.value).unwrap()).unwrap();
+}
+
+/// Commits two versions, falls back to the first and writes the second back.
+fn fall_back(forget_deltas: bool) -> (Table, Replica) {
+    let mut table = Table::default();
+    let mut replica = Replica::default();
+    commit(&mut table, &replica, proposal(1, false));
+    let backup = table.clone();
+    commit(&mut table, &replica, proposal(2, false));
+    read(&table, &mut replica);
+    if forget_deltas {
+        let whole = crate::Replica::default();
+        let pull = medlarpoint_wire::Pull { have: whole.tip() };
+        let mut other = whole;
+        let snapshot = Arc::clone(replica.current());
+        assert!(matches!(replica.answer(&pull), medlarpoint_wire::Update::Chain(_)));
+        other.offer(medlarpoint_wire::Update::Checkpoint(snapshot)).unwrap();
+        replica = other;
+    }
+    table.restore(backup);
+    restore(&mut table, &replica);
+    (table, replica)
+}
+
+#[test]
+fn a_commit_is_found_by_its_id_after_the_store_fell_back() {
+    let (mut table, replica) = fall_back(false);
+    let outcome = commit(&mut table, &replica, proposal(2, true));
+    let Outcome::Committed { delta, .. } = outcome else {
+        panic!("{outcome:?}");
+    };
+    assert_eq!(delta.version, Version(2));
+}
+
+#[test]
+fn a_commit_that_can_no_longer_be_found_is_unknown() {
+    let (mut table, replica) = fall_back(true);
+    let outcome = commit(&mut table, &replica, proposal(2, true));
+    assert_eq!(outcome, Outcome::Unknown(CommitId(2)));
+}
+
+#[test]
+fn nothing_is_built_on_an_older_head() {
+    let mut table = Table::default();
+    let mut replica = Replica::default();
+    commit(&mut table, &replica, proposal(1, false));
+    read(&table, &mut replica);
+    let outcome = commit(&mut Table::default(), &replica, proposal(2, false));
+    assert!(matches!(outcome, Outcome::Refused(crate::Refusal::StoreBehind { .. })));
+}
--- a/crates/medlarpoint_daemon/src/reader.rs
+++ b/crates/medlarpoint_daemon/src/reader.rs
@@ -147,9 +147,8 @@
 /// Writes the version in force back to a store that has fallen behind.
 async fn restore(driver: &Driver) {
     let shared = driver.shared();
-    let local = Arc::clone(lock(&shared.control).replica.current());
-    let version = local.version;
-    let (mut restore, first) = Restore::new(local);
+    let version = shared.version();
+    let (mut restore, first) = Restore::new(&lock(&shared.control).replica);
     let mut action = Some(first);
     let mut written = false;
     while let Some(next) = action {
--- a/crates/medlarpoint_dev/src/outcomes.rs
+++ b/crates/medlarpoint_dev/src/outcomes.rs
@@ -23,19 +23,38 @@
 connection first; an attempt that it never saw is fenced there and then counts as not run.
 `never` ends the call.
 
-| point | outcome | retry | why |
-|---|---|---|---|
+| point | outcome | retry | why | test in `medlarpoint_routing` |
+|---|---|---|---|---|
 ";
 
+/// Returns the test that shows a row.
+fn test(point: Point) -> &'static str {
+    match point {
+        Point::NoTarget => "call::tests::no_target_is_not_run",
+        Point::Connect => "call::tests::a_refused_connection_is_tried_elsewhere",
+        Point::Sent => "call::tests::a_broken_connection_is_asked_after",
+        Point::Silent => "call::tests::an_attempt_never_seen_is_sent_again",
+        Point::HalfAnswer => "call::tests::a_lost_answer_ends_a_call_that_may_not_be_repeated",
+        Point::Refused => "call::tests::a_refusal_is_tried_elsewhere",
+        Point::Restarted => "intake::tests::an_attempt_for_an_earlier_run_is_not_run",
+        Point::TargetConnect => "intake::tests::a_target_that_refuses_is_not_run",
+        Point::TargetLost | Point::CallerBody => "intake::tests::a_lost_target_is_unknown",
+        Point::ClaimFailed => "intake::tests::without_a_claim_nothing_is_handed_over",
+        Point::ClaimOrphaned => "call::tests::an_orphaned_claim_is_unknown",
+        Point::Deadline => "call::tests::the_deadline_answers_at_once",
+    }
+}
+
 pub(crate) fn render() -> String {
     let mut text = HEAD.to_owned();
     for point in Point::iter() {
         let _ = writeln!(
             text,
-            "| {point} | {} | {} | {} |",
+            "| {point} | {} | {} | {} | `{}` |",
             point.outcome(),
             point.retry(),
             point.reason(),
+            test(point),
         );
     }
     text
--- a/crates/medlarpoint_membership/src/detector.rs
+++ b/crates/medlarpoint_membership/src/detector.rs
@@ -663,3 +663,6 @@
         Incarnation(boot.0)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/medlarpoint_membership/src/detector/tests.rs
@@ -0,0 +1,59 @@
+//! Tests of [`super`]: faults that fuzzing found.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use medlarpoint_model::Vm;
+use medlarpoint_wire::{Body, Boot, Record, Status};
+
+use super::{Action, Detector};
+use crate::Options;
+
+fn record(name: &str, data_centre: &str, port: u16) -> Record {
+    let address = SocketAddr::from(([127, 0, 0, 1], port));
+    Record {
+        vm: Vm(name.parse().unwrap()),
+        data_centre: data_centre.parse().unwrap(),
+        region: "r".parse().unwrap(),
+        peer: address,
+        inbound: address,
+        boot: Boot(1),
+        incarnation: Detector::first_incarnation(Boot(1)),
+        status: Status::Alive,
+        target: None,
+    }
+}
+
+fn run(detector: &mut Detector, from_ms: u64, to_ms: u64) -> Vec<Action> {
+    let times = (from_ms..to_ms).step_by(100).map(Duration::from_millis);
+    times.flat_map(|now| detector.tick(now)).collect()
+}
+
+#[test]
+fn a_data_centre_that_dies_whole_is_noticed_from_outside() {
+    let mut detector = Detector::new(Options::default(), record("a", "one", 1), Duration::ZERO, 1);
+    let other = record("b", "two", 2);
+    detector.take_records(Duration::ZERO, std::slice::from_ref(&other));
+    run(&mut detector, 0, 30_000);
+    let status = detector.table().get(&other.vm).map(|member| member.record.status);
+    assert_eq!(status, Some(Status::Dead));
+}
+
+#[test]
+fn a_member_that_refutes_tells_those_it_takes_for_dead() {
+    let mut detector = Detector::new(Options::default(), record("a", "one", 1), Duration::ZERO, 1);
+    let dead = Record { status: Status::Dead, ..record("b", "one", 2) };
+    detector.take_records(Duration::ZERO, &[record("b", "one", 2), dead.clone()]);
+    let rumour = Record { status: Status::Dead, ..record("a", "one", 1) };
+    detector.take_records(Duration::ZERO, &[rumour]);
+    let actions = detector.tick(Duration::from_millis(100));
+    let told = actions.iter().any(|action| match action {
+        Action::Send { to, body: Body::Probe { gossip, .. } } => {
+            let newer = gossip.records.iter().any(|r| r.vm == detector.me().vm);
+            *to == dead.peer && newer
+        }
+        _ => false,
+    });
+    assert!(told, "{actions:?}");
+    assert_eq!(detector.me().status, Status::Alive);
+}
--- a/crates/medlarpoint_routing/src/call.rs
+++ b/crates/medlarpoint_routing/src/call.rs
@@ -451,3 +451,6 @@
         actions
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/medlarpoint_routing/src/call/tests.rs
@@ -0,0 +1,253 @@
+//! Tests of [`super`]: one for each failure point that the outbound side sees.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use medlarpoint_model::Vm;
+
+use super::{Action, Call, Event, Final, Known, Pick, Terms, Verdict};
+use crate::{AttemptId, Choice, Claim, Point};
+
+const START: Duration = Duration::from_secs(10);
+const DEADLINE: Duration = Duration::from_secs(14);
+
+/// Offers targets in order, with budgets that can be empty.
+struct Chooser {
+    vms: Vec<&'static str>,
+    retries: u32,
+    attempts: u128,
+}
+
+impl Chooser {
+    fn new(vms: &[&'static str]) -> Self {
+        Self { vms: vms.to_vec(), retries: 10, attempts: 0 }
+    }
+
+    fn choice(name: &str) -> Choice {
+        let address = SocketAddr::from(([127, 0, 0, 1], 1));
+        Choice { vm: Vm(name.parse().unwrap()), boot: 7, address }
+    }
+}
+
+impl Pick for Chooser {
+    fn pick(&mut self, _: Duration, exclude: &[Vm]) -> Option<Choice> {
+        let free = self.vms.iter().find(|name| exclude.iter().all(|vm| vm.as_str() != **name));
+        free.map(|name| Self::choice(name))
+    }
+
+    fn locate(&mut self, _: Duration, vm: &Vm) -> Option<Choice> {
+        self.vms.iter().find(|name| **name == vm.as_str()).map(|name| Self::choice(name))
+    }
+
+    fn may_retry(&mut self) -> bool {
+        let may = self.retries > 0;
+        self.retries = self.retries.saturating_sub(1);
+        may
+    }
+
+    fn may_hedge(&mut self) -> bool {
+        true
+    }
+
+    fn attempt_id(&mut self) -> AttemptId {
+        self.attempts += 1;
+        AttemptId(self.attempts)
+    }
+}
+
+fn terms(repeatable: bool, keyed: bool) -> Terms {
+    Terms {
+        repeatable,
+        keyed,
+        may_retry: true,
+        deadline: DEADLINE,
+        hedge_after: None,
+        suspect_after: Duration::from_millis(500),
+    }
+}
+
+fn start(terms: Terms, chooser: &mut Chooser) -> Call {
+    let (call, actions) = Call::start(START, terms, chooser);
+    assert!(matches!(actions[..], [Action::Send(AttemptId(1), _)]), "{actions:?}");
+    call
+}
+
+fn not_run(point: Point) -> Verdict {
+    Verdict::NotRun { point, retry_after: Duration::from_millis(70) }
+}
+
+fn sent_to(actions: &[Action]) -> Option<&str> {
+    match actions {
+        [Action::Send(_, choice)] => Some(choice.vm.as_str()),
+        _ => None,
+    }
+}
+
+fn finished(actions: &[Action]) -> Option<Final> {
+    match actions.last() {
+        Some(Action::Finish(outcome)) => Some(*outcome),
+        _ => None,
+    }
+}
+
+#[test]
+fn no_target_is_not_run() {
+    let (_, actions) = Call::start(START, terms(false, false), &mut Chooser::new(&[]));
+    let outcome = finished(&actions);
+    assert!(matches!(outcome, Some(Final::NotRun { point: Point::NoTarget, .. })));
+}
+
+#[test]
+fn a_refused_connection_is_tried_elsewhere() {
+    let mut chooser = Chooser::new(&["a", "b"]);
+    let mut call = start(terms(false, false), &mut chooser);
+    let actions = call.on(START, Event::Failed(AttemptId(1), Point::Connect), &mut chooser);
+    assert_eq!(sent_to(&actions), Some("b"));
+}
+
+#[test]
+fn a_refusal_is_tried_elsewhere() {
+    let mut chooser = Chooser::new(&["a", "b"]);
+    let mut call = start(terms(false, true), &mut chooser);
+    let refused = Event::Answered(AttemptId(1), not_run(Point::Refused));
+    assert_eq!(sent_to(&call.on(START, refused, &mut chooser)), Some("b"));
+    let refused = Event::Answered(AttemptId(2), not_run(Point::Refused));
+    let retry_after = Duration::from_millis(70);
+    let told = finished(&call.on(START, refused, &mut chooser));
+    assert_eq!(told, Some(Final::NotRun { point: Point::Refused, retry_after }));
+}
+
+#[test]
+fn an_empty_budget_ends_the_call() {
+    let mut chooser = Chooser::new(&["a", "b"]);
+    chooser.retries = 0;
+    let mut call = start(terms(true, false), &mut chooser);
+    let refused = Event::Answered(AttemptId(1), not_run(Point::Refused));
+    assert!(matches!(
+        finished(&call.on(START, refused, &mut chooser)),
+        Some(Final::NotRun { point: Point::Refused, .. })
+    ));
+}
+
+#[test]
+fn only_one_layer_retries() {
+    let mut chooser = Chooser::new(&["a", "b"]);
+    let below = Terms { may_retry: false, ..terms(true, false) };
+    let mut call = start(below, &mut chooser);
+    let refused = Event::Answered(AttemptId(1), not_run(Point::Refused));
+    assert!(finished(&call.on(START, refused, &mut chooser)).is_some());
+}
+
+#[test]
+fn a_broken_connection_is_asked_after() {
+    let mut chooser = Chooser::new(&["a", "b"]);
+    let mut call = start(terms(false, false), &mut chooser);
+    let actions = call.on(START, Event::Failed(AttemptId(1), Point::Sent), &mut chooser);
+    assert!(matches!(actions[..], [Action::Query(AttemptId(1), _)]));
+    let finished_there = Event::Queried(AttemptId(1), Known::Finished);
+    assert_eq!(finished(&call.on(START, finished_there, &mut chooser)), Some(Final::Ran));
+}
+
+#[test]
+fn an_attempt_never_seen_is_sent_again() {
+    let mut chooser = Chooser::new(&["a", "b"]);
+    let mut call = start(terms(false, false), &mut chooser);
+    let later = START + Duration::from_millis(500);
+    assert_eq!(call.wake(), later);
+    let actions = call.on(later, Event::Wake, &mut chooser);
+    assert!(matches!(actions[..], [Action::Query(AttemptId(1), _)]));
+    let unseen = Event::Queried(AttemptId(1), Known::Unseen);
+    assert_eq!(sent_to(&call.on(later, unseen, &mut chooser)), Some("b"));
+}
+
+#[test]
+fn a_restarted_proxy_leaves_the_outcome_unknown() {
+    let mut chooser = Chooser::new(&["a", "b"]);
+    let mut call = start(terms(false, false), &mut chooser);
+    call.on(START, Event::Failed(AttemptId(1), Point::Sent), &mut chooser);
+    let restarted = Event::Queried(AttemptId(1), Known::Restarted);
+    let told = finished(&call.on(START, restarted, &mut chooser));
+    assert_eq!(told, Some(Final::Unknown(Point::Silent)));
+}
+
+#[test]
+fn a_lost_answer_ends_a_call_that_may_not_be_repeated() {
+    let mut chooser = Chooser::new(&["a", "b"]);
+    let mut call = start(terms(false, false), &mut chooser);
+    let ran = Event::Answered(AttemptId(1), Verdict::Ran);
+    assert_eq!(finished(&call.on(START, ran, &mut chooser)), Some(Final::Ran));
+    let mut chooser = Chooser::new(&["a", "b"]);
+    let mut call = start(terms(true, false), &mut chooser);
+    let ran = Event::Answered(AttemptId(1), Verdict::Ran);
+    assert_eq!(sent_to(&call.on(START, ran, &mut chooser)), Some("b"));
+}
+
+#[test]
+fn a_lost_target_is_tried_elsewhere_only_if_repeatable() {
+    for (repeatable, elsewhere) in [(true, Some("b")), (false, None)] {
+        let mut chooser = Chooser::new(&["a", "b"]);
+        let mut call = start(terms(repeatable, false), &mut chooser);
+        let lost = Event::Answered(AttemptId(1), Verdict::Unknown(Point::TargetLost));
+        let actions = call.on(START, lost, &mut chooser);
+        assert_eq!(sent_to(&actions), elsewhere);
+        assert_eq!(finished(&actions).is_some(), !repeatable);
+    }
+}
+
+#[test]
+fn an_orphaned_claim_is_unknown() {
+    let mut chooser = Chooser::new(&["a", "b"]);
+    let mut call = start(terms(false, true), &mut chooser);
+    let claim = Claim { vm: Vm("b".parse().unwrap()), boot: 6 };
+    let claimed = Event::Answered(AttemptId(1), Verdict::ClaimedBy(claim));
+    let told = finished(&call.on(START, claimed, &mut chooser));
+    assert_eq!(told, Some(Final::Unknown(Point::ClaimOrphaned)));
+}
+
+#[test]
+fn the_holder_of_a_claim_is_asked() {
+    let mut chooser = Chooser::new(&["a", "b"]);
+    let mut call = start(terms(false, true), &mut chooser);
+    let claim = Claim { vm: Vm("b".parse().unwrap()), boot: 7 };
+    let claimed = Event::Answered(AttemptId(1), Verdict::ClaimedBy(claim));
+    assert_eq!(sent_to(&call.on(START, claimed, &mut chooser)), Some("b"));
+}
+
+#[test]
+fn a_resent_key_never_ends_as_not_run() {
+    let mut chooser = Chooser::new(&["a"]);
+    let mut call = start(terms(false, true), &mut chooser);
+    call.on(START, Event::Failed(AttemptId(1), Point::Sent), &mut chooser);
+    let finished_there = Event::Queried(AttemptId(1), Known::Finished);
+    assert_eq!(sent_to(&call.on(START, finished_there, &mut chooser)), Some("a"));
+    let restarted = Event::Answered(AttemptId(2), not_run(Point::Restarted));
+    let told = finished(&call.on(START, restarted, &mut chooser));
+    assert_eq!(told, Some(Final::Unknown(Point::HalfAnswer)));
+}
+
+#[test]
+fn the_deadline_answers_at_once() {
+    let mut chooser = Chooser::new(&["a", "b"]);
+    let mut call = start(terms(true, false), &mut chooser);
+    let actions = call.on(DEADLINE, Event::Wake, &mut chooser);
+    assert!(matches!(
+        actions[..],
+        [Action::Cancel(AttemptId(1)), Action::Finish(Final::Unknown(Point::Deadline))]
+    ));
+    assert!(call.is_over());
+}
+
+#[test]
+fn a_hedge_goes_elsewhere_and_the_loser_is_cancelled() {
+    let mut chooser = Chooser::new(&["a", "b"]);
+    let hedged = Terms { hedge_after: Some(Duration::from_millis(20)), ..terms(true, false) };
+    let mut call = start(hedged, &mut chooser);
+    let later = START + Duration::from_millis(20);
+    assert_eq!(sent_to(&call.on(later, Event::Wake, &mut chooser)), Some("b"));
+    let answer = Event::Answered(AttemptId(2), Verdict::Answer);
+    let actions = call.on(later, answer, &mut chooser);
+    assert_eq!(
+        actions,
+        [Action::Cancel(AttemptId(1)), Action::Finish(Final::Answer(AttemptId(2)))]
+    );
+}
--- a/crates/medlarpoint_routing/src/intake.rs
+++ b/crates/medlarpoint_routing/src/intake.rs
@@ -446,3 +446,6 @@
 ) -> Action<A> {
     reply(attempt, Reply::NotRun { point, refusal, retry_after })
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/medlarpoint_routing/src/outcome/tests.rs
@@ -0,0 +1,14 @@
+//! Tests of [`super`].
+
+use strum::IntoEnumIterator;
+
+use super::{Outcome, Point, Retry};
+
+#[test]
+fn only_what_did_not_run_is_retried_without_asking() {
+    for point in Point::iter() {
+        if point.retry() == Retry::Allowed {
+            assert_eq!(point.outcome(), Outcome::NotRun, "{point}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/medlarpoint_routing/src/table/tests.rs
@@ -0,0 +1,53 @@
+//! Tests of [`super`].
+
+use http::{HeaderMap, Method};
+use medlarpoint_model::{Change, Document, Format, Snapshot};
+
+use super::Routes;
+
+const DOCUMENT: &str = r#"
+    [[service]]
+    name = "s"
+    [[route]]
+    name = "all"
+    service = "s"
+    [[route]]
+    name = "api"
+    service = "s"
+    match.path_prefix = "/api/"
+    [[route]]
+    name = "api-post"
+    service = "s"
+    match = { path_prefix = "/api/", methods = ["POST"] }
+    [[route]]
+    name = "host"
+    service = "s"
+    match = { host = "Desk.example", path_prefix = "/x" }
+    [[route]]
+    name = "paid"
+    service = "s"
+    match = { path_prefix = "/api", headers = { x-kind = "paid" } }
+"#;
+
+fn find(host: &str, method: &Method, path: &str, kind: Option<&str>) -> String {
+    let document = Document::parse(DOCUMENT, Format::Toml).unwrap();
+    let changes: Vec<Change> = document.resources.into_iter().map(Change::Put).collect();
+    let routes = Routes::compile(&Snapshot::empty().edit(&changes));
+    let mut headers = HeaderMap::new();
+    if let Some(kind) = kind {
+        headers.insert("x-kind", kind.parse().unwrap());
+    }
+    let plan = routes.find(Some(host), method, path, &headers);
+    plan.map(|plan| plan.route.name.to_string()).unwrap_or_default()
+}
+
+#[test]
+fn the_most_specific_route_wins() {
+    assert_eq!(find("a", &Method::GET, "/", None), "all");
+    assert_eq!(find("a", &Method::GET, "/apis", None), "all");
+    assert_eq!(find("a", &Method::GET, "/api", None), "api");
+    assert_eq!(find("a", &Method::POST, "/api/b", None), "api-post");
+    assert_eq!(find("a", &Method::GET, "/api/b", Some("paid")), "api");
+    assert_eq!(find("desk.EXAMPLE:80", &Method::GET, "/x/y", None), "host");
+    assert_eq!(find("desk.example", &Method::GET, "/y", None), "all");
+}
