Add experiments on calls and convergence

Cause: no promise on speed or load had a figure.

Convergence runs each daemon as a process; the others run real daemons and stand-in targets in one process, with the baselines beside them.

--- a/crates/medlarpoint_bench/src/bin/medlarpoint-bench.rs
+++ b/crates/medlarpoint_bench/src/bin/medlarpoint-bench.rs
@@ -1,18 +1,35 @@
 //! Experiments and long fuzz runs.
 
+use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand, ValueEnum};
-use medlarpoint_bench::fuzz;
+use medlarpoint_bench::experiment::{blocking, convergence, crest, faults, overhead, stragglers};
+use medlarpoint_bench::{Failure, fuzz, node};
+use serde::Serialize;
 
 /// Experiments and long fuzz runs.
 #[derive(Debug, Parser)]
 #[command(name = "medlarpoint-bench", version)]
 struct Arguments {
+    /// Shape of the output: one line of JSON at the end, or the same indented.
+    #[arg(long, global = true, value_enum, default_value_t)]
+    output_format: OutputFormat,
     #[command(subcommand)]
     command: Command,
 }
 
+/// Shapes of the output.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, ValueEnum)]
+enum OutputFormat {
+    /// Indented.
+    #[default]
+    Text,
+    /// One line.
+    Json,
+}
+
 #[derive(Debug, Subcommand)]
 enum Command {
     /// Fuzzes decisions against an oracle.
@@ -27,6 +44,28 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Time until a change is in force everywhere, and its cost; each daemon is a process.
+    Convergence(convergence::Flags),
+    /// A direct call against one through the proxies.
+    Overhead(overhead::Flags),
+    /// Demand that swings to three times the capacity.
+    Crest(crest::Flags),
+    /// Short work beside long work.
+    Blocking(blocking::Flags),
+    /// One target in five slow for moments.
+    Stragglers(stragglers::Flags),
+    /// Kills, silent connections and a cut, all at once.
+    Faults(faults::Flags),
+    /// Runs one daemon for an experiment.
+    #[command(hide = true)]
+    Node {
+        /// Settings of the daemon.
+        #[arg(long, required_unless_present = "watch")]
+        settings: Option<PathBuf>,
+        /// Only watches this store.
+        #[arg(long)]
+        watch: Option<SocketAddr>,
+    },
 }
 
 /// What can be fuzzed.
@@ -41,9 +80,50 @@
 }
 
 fn main() -> ExitCode {
-    match Arguments::parse().command {
-        Command::Fuzz { subject, steps, seed } => run_fuzz(subject, steps, seed),
+    let arguments = Arguments::parse();
+    if let Command::Fuzz { subject, steps, seed } = arguments.command {
+        return run_fuzz(subject, steps, seed);
+    }
+    let mut builder = match &arguments.command {
+        Command::Node { .. } => tokio::runtime::Builder::new_current_thread(),
+        _ => tokio::runtime::Builder::new_multi_thread(),
+    };
+    let result = match builder.enable_all().build() {
+        Ok(runtime) => runtime.block_on(run(arguments.command, arguments.output_format)),
+        Err(error) => Err(error.into()),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("medlarpoint-bench: {failure}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(command: Command, format: OutputFormat) -> Result<(), Failure> {
+    match command {
+        Command::Fuzz { .. } => Ok(()),
+        Command::Convergence(flags) => print(&convergence::run(&flags).await?, format),
+        Command::Overhead(flags) => print(&overhead::run(&flags).await?, format),
+        Command::Crest(flags) => print(&crest::run(&flags).await?, format),
+        Command::Blocking(flags) => print(&blocking::run(&flags).await?, format),
+        Command::Stragglers(flags) => print(&stragglers::run(&flags).await?, format),
+        Command::Faults(flags) => print(&faults::run(&flags).await?, format),
+        Command::Node { settings, watch } => match (settings, watch) {
+            (Some(settings), _) => node::run(&settings).await,
+            (None, Some(store)) => node::run_baseline(store).await,
+            (None, None) => Err(Failure::Node("name settings or a store".to_owned())),
+        },
+    }
+}
+
+fn print<T: Serialize>(report: &T, format: OutputFormat) -> Result<(), Failure> {
+    match format {
+        OutputFormat::Text => println!("{}", serde_json::to_string_pretty(report)?),
+        OutputFormat::Json => println!("{}", serde_json::to_string(report)?),
     }
+    Ok(())
 }
 
 fn run_fuzz(subject: Subject, steps: usize, seed: u64) -> ExitCode {
--- a/crates/medlarpoint_bench/src/demo.rs
+++ b/crates/medlarpoint_bench/src/demo.rs
@@ -182,6 +182,7 @@
             kinds: preset.kinds(),
             phases: vec![Phase { duration: LOAD_TIME, rate: RATE }],
             timeout: Duration::from_secs(12),
+            resends: 2,
             seed: 7,
             label: preset.to_string(),
         };
@@ -248,6 +249,7 @@
             kinds: vec![Preset::Association.kinds().swap_remove(0)],
             phases: vec![Phase { duration: Duration::from_secs(4), rate: 50.0 }],
             timeout: Duration::from_secs(5),
+            resends: 2,
             seed: 3,
             label: "cut".to_owned(),
         };
--- /dev/null
+++ b/crates/medlarpoint_bench/src/experiment.rs
@@ -0,0 +1,11 @@
+//! Experiments: each ends in one JSON object.
+
+pub mod blocking;
+pub mod convergence;
+pub mod crest;
+pub mod faults;
+pub mod overhead;
+mod setting;
+pub mod stragglers;
+
+pub use setting::{Setting, quantile_ms};
--- /dev/null
+++ b/crates/medlarpoint_bench/src/experiment/overhead.rs
@@ -0,0 +1,109 @@
+//! What a call through two proxies costs over a direct one.
+
+use std::time::Duration;
+
+use medlarpoint_standin::{Kind, Load, Phase};
+use serde::Serialize;
+
+use crate::experiment::{Setting, quantile_ms};
+use crate::{Failure, Fleet};
+
+/// Flags.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Flags {
+    #[command(flatten)]
+    setting: Setting,
+    /// Calls per second, each way.
+    #[arg(long, default_value_t = 500.0)]
+    rate: f64,
+}
+
+/// Figures.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// Calls each way.
+    pub calls: u64,
+    /// Median of direct calls.
+    pub direct_p50_ms: f64,
+    /// 99th percentile of direct calls.
+    pub direct_p99_ms: f64,
+    /// Difference of the medians.
+    pub p50_added_ms: f64,
+    /// Difference of the 99th percentiles.
+    pub p99_added_ms: f64,
+    /// Calls that both proxies carry per second and core, from the processor
+    /// time that they add to direct calls.
+    pub calls_per_s_per_core: f64,
+    /// Calls that did not get a good answer.
+    pub failed: u64,
+}
+
+fn kind(setting: &Setting) -> Kind {
+    let mut kind = setting.preset.kinds().swap_remove(0);
+    kind.headers =
+        vec![("x-work-us", "0".to_owned()), ("medlarpoint-tenant", setting.tenant.clone())];
+    kind
+}
+
+fn load(flags: &Flags, addresses: Vec<std::net::SocketAddr>, label: &str, rate: f64) -> Load {
+    Load {
+        addresses,
+        kinds: vec![kind(&flags.setting)],
+        phases: vec![Phase { duration: flags.setting.duration(), rate }],
+        timeout: Duration::from_secs(5),
+        resends: 0,
+        seed: flags.setting.seed,
+        label: label.to_owned(),
+    }
+}
+
+/// Returns the processor time of this process.
+fn cpu() -> f64 {
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields: Vec<&str> =
+        stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+    let ticks = |index: usize| fields.get(index).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
+    (ticks(11) + ticks(12)) / 100.0
+}
+
+/// Runs the experiment.
+pub async fn run(flags: &Flags) -> Result<Report, Failure> {
+    let service = flags.setting.service(0);
+    let fleet = flags.setting.fleet(service, "").await?;
+    let targets: Vec<_> =
+        fleet.members.iter().filter_map(|m| Some(m.target.as_ref()?.address())).collect();
+    let callers = caller(&fleet)?;
+    // Both at once, so that they meet the same machine.
+    let direct = tokio::spawn(load(flags, targets.clone(), "direct", flags.rate).run());
+    let proxied = tokio::spawn(load(flags, callers.clone(), "proxied", flags.rate).run());
+    let name = flags.setting.preset.kinds().swap_remove(0).name;
+    let direct = direct.await.unwrap_or_default().kind(name);
+    let proxied = proxied.await.unwrap_or_default().kind(name);
+    // One after the other, to tell their processor time apart.
+    let busy = flags.rate * 4.0;
+    let (direct_cost, _) = cost(load(flags, targets, "direct2", busy), name).await;
+    let (proxied_cost, failed) = cost(load(flags, callers, "proxied2", busy), name).await;
+    fleet.close().await;
+    Ok(Report {
+        calls: direct.total(),
+        direct_p50_ms: quantile_ms(&direct.good, 0.5),
+        direct_p99_ms: quantile_ms(&direct.good, 0.99),
+        p50_added_ms: quantile_ms(&proxied.good, 0.5) - quantile_ms(&direct.good, 0.5),
+        p99_added_ms: quantile_ms(&proxied.good, 0.99) - quantile_ms(&direct.good, 0.99),
+        calls_per_s_per_core: 1.0 / (proxied_cost - direct_cost).max(1e-9),
+        failed: failed + proxied.total() - proxied.good.len(),
+    })
+}
+
+fn caller(fleet: &Fleet) -> Result<Vec<std::net::SocketAddr>, Failure> {
+    let last = fleet.members.len() - 1;
+    Ok(vec![fleet.members[last].daemon()?.addresses().calls])
+}
+
+/// Returns the processor time per call, in seconds.
+async fn cost(load: Load, name: &str) -> (f64, u64) {
+    let before = cpu();
+    let tally = load.run().await.kind(name);
+    let spent = cpu() - before;
+    (spent / tally.total().max(1) as f64, tally.total() - tally.good.len())
+}
--- a/crates/medlarpoint_bench/src/fleet.rs
+++ b/crates/medlarpoint_bench/src/fleet.rs
@@ -55,6 +55,8 @@
     pub ledger: Ledger,
     /// Seeds given to new daemons.
     seeds: Vec<SocketAddr>,
+    /// A store of another experiment, used in place of the own one.
+    foreign_store: Option<SocketAddr>,
     store_region: String,
     extra: String,
 }
@@ -98,6 +100,7 @@
             members: Vec::new(),
             ledger: Ledger::default(),
             seeds: Vec::new(),
+            foreign_store: None,
             store_region: store_region.to_owned(),
             extra: String::new(),
         })
@@ -108,9 +111,15 @@
         extra.clone_into(&mut self.extra);
     }
 
+    /// Makes daemons started from now on use another store.
+    pub fn use_store(&mut self, address: SocketAddr) {
+        self.foreign_store = Some(address);
+    }
+
     async fn start_daemon(&self, site: &Site) -> Result<Daemon, Failure> {
         let extra = format!("seeds = {:?}\n{}", self.seeds_text(), self.extra);
-        let text = settings(site, self.store.address(), &self.store_region, &extra);
+        let store = self.foreign_store.unwrap_or(self.store.address());
+        let text = settings(site, store, &self.store_region, &extra);
         let settings = Options::parse(&text)?.resolve()?;
         let log = Log::new(LogFormat::Off)?;
         Ok(Daemon::start(settings, log, None).await?)
--- a/crates/medlarpoint_bench/src/lib.rs
+++ b/crates/medlarpoint_bench/src/lib.rs
@@ -1,10 +1,13 @@
 //! Load, experiments, fuzz runs and the demo.
 
 pub mod demo;
+pub mod experiment;
 mod failure;
 mod fleet;
 pub mod fuzz;
+pub mod node;
 mod preset;
+mod processes;
 
 pub use failure::Failure;
 pub use fleet::{Fleet, Member, Site, settings};
--- a/crates/medlarpoint_daemon/src/daemon.rs
+++ b/crates/medlarpoint_daemon/src/daemon.rs
@@ -152,6 +152,18 @@
         self.driver.shared().version()
     }
 
+    /// Waits until a version later than `version` is in force.
+    pub async fn wait_later(&self, version: Version) -> Version {
+        let shared = self.driver.shared();
+        let mut changes = shared.changes.subscribe();
+        loop {
+            let current = shared.version();
+            if current > version || changes.changed().await.is_err() {
+                return current;
+            }
+        }
+    }
+
     /// Tells whether callers are served.
     pub fn is_ready(&self) -> bool {
         self.driver.shared().is_ready()
--- a/crates/medlarpoint_daemon/src/lib.rs
+++ b/crates/medlarpoint_daemon/src/lib.rs
@@ -35,6 +35,6 @@
 pub use metrics::{InstallError, install as install_metrics};
 pub use settings::{
     ApiOptions, InvalidSettings, LimitOptions, ListenOptions, LogOptions, MembershipOptions,
-    Options, Settings, StoreOptions,
+    Options, RoutingOptions, Settings, StoreOptions,
 };
 pub use traffic::{Reading, Traffic};
--- a/crates/medlarpoint_daemon/src/services.rs
+++ b/crates/medlarpoint_daemon/src/services.rs
@@ -11,9 +11,9 @@
 use crate::state::{Control, ServiceState, Shared, lock};
 
 impl ServiceState {
-    fn new(seed: u64) -> Self {
+    fn new(strategy: Strategy, seed: u64) -> Self {
         Self {
-            picker: Mutex::new(Picker::new(Strategy::default(), seed)),
+            picker: Mutex::new(Picker::new(strategy, seed)),
             retries: Mutex::new(Budget::default()),
             hedges: Mutex::new(Budget::default()),
             short: Mutex::new(Hedge::default()),
@@ -44,7 +44,9 @@
     let mut services = shared.services.write().unwrap_or_else(PoisonError::into_inner);
     for name in targets.keys() {
         let seed = rand::random();
-        services.entry(name.clone()).or_insert_with(|| Arc::new(ServiceState::new(seed)));
+        services
+            .entry(name.clone())
+            .or_insert_with(|| Arc::new(ServiceState::new(shared.settings.strategy, seed)));
     }
     for (name, state) in services.iter() {
         let endpoints = targets.swap_remove(name).unwrap_or_default();
--- a/crates/medlarpoint_daemon/src/settings.rs
+++ b/crates/medlarpoint_daemon/src/settings.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use medlarpoint_model::{DataCentre, Name, Region, Vm};
+use medlarpoint_routing::Strategy;
 use medlarpoint_store::Endpoint;
 use schemars::JsonSchema;
 use serde::Deserialize;
+use strum::IntoEnumIterator;
 
 use crate::log;
 
@@ -48,6 +50,9 @@
     /// Failure detection.
     #[serde(default)]
     pub membership: MembershipOptions,
+    /// Choice of targets.
+    #[serde(default)]
+    pub routing: RoutingOptions,
 }
 
 fn default_drain_timeout_ms() -> u64 {
@@ -154,6 +159,21 @@
     }
 }
 
+/// Choice of targets.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct RoutingOptions {
+    /// `expected-wait`; the others are baselines for measurements: `random`,
+    /// `round-robin`, `least-requests`, `expected-wait-breaker`.
+    pub strategy: String,
+}
+
+impl Default for RoutingOptions {
+    fn default() -> Self {
+        Self { strategy: Strategy::default().to_string() }
+    }
+}
+
 /// Checked settings.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -165,6 +185,8 @@
     pub store_timeout: Duration,
     /// Longest time a planned stop waits.
     pub drain_timeout: Duration,
+    /// How targets are chosen.
+    pub strategy: Strategy,
     /// Bearer token for writes; without one, writes are taken only from this machine.
     pub token: Option<String>,
 }
@@ -234,11 +256,17 @@
         range("limits.body_pause_ms", self.limits.body_pause_ms, 100, 600_000)?;
         range("membership.period_ms", self.membership.period_ms, 50, 60_000)?;
         range("membership.suspicion_ms", self.membership.suspicion_ms, 100, 600_000)?;
+        let strategy = self.routing.strategy.parse().map_err(|_| {
+            let names: Vec<String> = Strategy::iter().map(|known| known.to_string()).collect();
+            let message = format!("{:?} is not one of {names:?}", self.routing.strategy);
+            InvalidSettings::Value { key: "routing.strategy", message }
+        })?;
         let token = read_token(&self.api)?;
         Ok(Settings {
             endpoints: self.store.endpoints.iter().copied().map(Endpoint).collect(),
             store_timeout: Duration::from_millis(self.store.timeout_ms),
             drain_timeout: Duration::from_millis(self.drain_timeout_ms),
+            strategy,
             token,
             options: self,
         })
--- a/crates/medlarpoint_standin/src/bin/medlarpoint-standin.rs
+++ b/crates/medlarpoint_standin/src/bin/medlarpoint-standin.rs
@@ -119,6 +119,7 @@
                 kinds: vec![kind],
                 phases: vec![Phase { duration, rate }],
                 timeout: Duration::from_secs(10),
+                resends: 2,
                 seed: 1,
                 label: std::process::id().to_string(),
             };
--- a/crates/medlarpoint_standin/src/load.rs
+++ b/crates/medlarpoint_standin/src/load.rs
@@ -54,6 +54,9 @@
     pub phases: Vec<Phase>,
     /// Longest time to wait for an answer.
     pub timeout: Duration,
+    /// Times a keyed request without a clear answer is sent again, to the next
+    /// address.
+    pub resends: usize,
     /// Seed of the choice of kinds and of the gaps.
     pub seed: u64,
     /// Prefix of the request identities.
@@ -146,7 +149,11 @@
     /// Runs the load to its end and waits for the last answers.
     pub async fn run(self) -> Report {
         let report = Arc::new(Mutex::new(Report::default()));
-        let http = Http::new(self.timeout);
+        let sender = Sender {
+            http: Http::new(self.timeout),
+            addresses: self.addresses.clone(),
+            resends: self.resends,
+        };
         let mut rng = StdRng::seed_from_u64(self.seed);
         let start = Instant::now();
         let mut due = Duration::ZERO;
@@ -161,11 +168,11 @@
                 due += Duration::from_secs_f64(gap);
                 tokio::time::sleep_until((start + due).into()).await;
                 let kind = self.choose(&mut rng).clone();
-                let address = self.addresses[count % self.addresses.len()];
+                let turn = count;
                 let id = format!("{}-{}-{count}", self.label, self.seed);
                 count += 1;
-                let (http, report) = (http.clone(), Arc::clone(&report));
-                tasks.spawn(async move { one(&http, address, kind, id, start, &report).await });
+                let (sender, report) = (sender.clone(), Arc::clone(&report));
+                tasks.spawn(async move { sender.one(turn, kind, id, start, &report).await });
             }
         }
         while tasks.join_next().await.is_some() {}
@@ -186,32 +193,62 @@
     }
 }
 
-async fn one(
-    http: &Http,
-    address: SocketAddr,
-    kind: Kind,
-    id: String,
-    start: Instant,
-    report: &Mutex<Report>,
-) {
+#[derive(Clone, Debug)]
+struct Sender {
+    http: Http,
+    addresses: Vec<SocketAddr>,
+    resends: usize,
+}
+
+impl Sender {
+    async fn one(
+        &self,
+        turn: usize,
+        kind: Kind,
+        id: String,
+        start: Instant,
+        report: &Mutex<Report>,
+    ) {
+        let sent = Instant::now();
+        let mut tries = 0;
+        let result = loop {
+            let address = self.addresses[(turn + tries) % self.addresses.len()];
+            let Some(request) = request(address, &kind, &id) else {
+                return;
+            };
+            let result = self.http.send(request).await;
+            if tries >= self.resends || !kind.keyed || is_clear(&result) {
+                break result;
+            }
+            tries += 1;
+        };
+        let took = sent.elapsed();
+        let second = start.elapsed().as_secs();
+        let mut report = report.lock().unwrap_or_else(PoisonError::into_inner);
+        report.kinds.entry(kind.name).or_default().add(id, took, second, &result);
+    }
+}
+
+/// Tells whether an answer leaves nothing open.
+fn is_clear(result: &Result<Response<Bytes>, HttpError>) -> bool {
+    let Ok(response) = result else {
+        return false;
+    };
+    let outcome = response.headers().get("medlarpoint-outcome");
+    response.status().is_success() || outcome.is_some_and(|outcome| outcome == "not-run")
+}
+
+fn request(address: SocketAddr, kind: &Kind, id: &str) -> Option<Request<Full<Bytes>>> {
     let mut request = Request::builder()
-        .method(kind.method)
+        .method(kind.method.clone())
         .uri(format!("http://{address}{}", kind.path))
-        .header(::http::header::HOST, kind.host)
-        .header("x-request-id", &id);
+        .header(::http::header::HOST, &kind.host)
+        .header("x-request-id", id);
     if kind.keyed {
-        request = request.header("idempotency-key", &id);
+        request = request.header("idempotency-key", id);
     }
-    for (name, value) in kind.headers {
-        request = request.header(name, value);
+    for (name, value) in &kind.headers {
+        request = request.header(*name, value);
     }
-    let Ok(request) = request.body(Full::new(Bytes::new())) else {
-        return;
-    };
-    let sent = Instant::now();
-    let result = http.send(request).await;
-    let took = sent.elapsed();
-    let second = start.elapsed().as_secs();
-    let mut report = report.lock().unwrap_or_else(PoisonError::into_inner);
-    report.kinds.entry(kind.name).or_default().add(id, took, second, &result);
+    request.body(Full::new(Bytes::new())).ok()
 }
