Remember that a straggler was beaten by a hedge

A hedge that wins cancels the slow attempt, and with it the one sign that told of the straggler: its age. The picker came back at once.

A target whose attempt was given up after its usual time now counts as a straggler for 0.1 s, doubled up to 1 s until it answers as usual.

--- a/crates/medlarpoint_routing/src/picker.rs
+++ b/crates/medlarpoint_routing/src/picker.rs
@@ -21,6 +21,10 @@
 const EJECT_TIME: Duration = Duration::from_millis(500);
 /// Longest time a target is set aside.
 const MAX_EJECT_TIME: Duration = Duration::from_secs(10);
+/// First time a target counts as a straggler after a faster one beat it.
+const BEATEN_TIME: Duration = Duration::from_millis(100);
+/// Longest such time.
+const MAX_BEATEN_TIME: Duration = Duration::from_secs(1);
 /// Latency assumed of a target that has not answered yet.
 const UNKNOWN_LATENCY: Duration = Duration::from_micros(500);
 /// Share of unused room that makes one target dearer than another.
@@ -106,6 +110,10 @@
     failures: u32,
     ejections: u32,
     ejected_until: Duration,
+    /// Attempts in a row that were given up for a faster one.
+    beaten: u32,
+    /// Until when the target counts as a straggler for being beaten.
+    beaten_until: Duration,
     breaker: Breaker,
 }
 
@@ -215,6 +223,10 @@
         state.breaker.ended(now, sent.generation, !slow);
         state.latency_mut(sent.class).observe(now, latency);
         state.answered_at = now;
+        if !slow {
+            state.beaten = 0;
+            state.beaten_until = Duration::ZERO;
+        }
     }
 
     /// Notes that an attempt was refused, with the load of the target.
@@ -232,7 +244,8 @@
     }
 
     /// Notes that an attempt was given up while outstanding. Its age so far is
-    /// a lower bound of the latency.
+    /// only a lower bound of the latency, so the target counts as a straggler
+    /// for a while, longer each time until it answers as usual.
     pub fn abandoned(&mut self, now: Duration, vm: &Vm, attempt: AttemptId) {
         let Some(state) = self.targets.get_mut(vm) else {
             return;
@@ -244,6 +257,9 @@
         state.breaker.ended(now, sent.generation, false);
         if state.latency(sent.class).value().is_some_and(|usual| age > usual) {
             state.latency_mut(sent.class).observe(now, age);
+            let time = BEATEN_TIME.saturating_mul(1 << state.beaten.min(8)).min(MAX_BEATEN_TIME);
+            state.beaten += 1;
+            state.beaten_until = now + time;
         }
     }
 
@@ -336,6 +352,8 @@
             failures: 0,
             ejections: 0,
             ejected_until: Duration::ZERO,
+            beaten: 0,
+            beaten_until: Duration::ZERO,
             breaker: Breaker::default(),
         }
     }
@@ -387,7 +405,8 @@
     }
 
     fn straggles(&self, now: Duration, class: Class, usual: Option<Duration>) -> bool {
-        usual.is_some_and(|usual| self.service(now, class) > usual * 3 + UNKNOWN_LATENCY)
+        let beaten = now < self.beaten_until;
+        beaten || usual.is_some_and(|usual| self.service(now, class) > usual * 3 + UNKNOWN_LATENCY)
     }
 
     fn wait(&self, now: Duration, class: Class) -> Duration {
--- a/crates/medlarpoint_standin/src/target.rs
+++ b/crates/medlarpoint_standin/src/target.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ::http::{HeaderMap, Method, Request, Response, StatusCode};
 use bytes::Bytes;
@@ -52,6 +52,9 @@
     ledger: Ledger,
     rng: Mutex<StdRng>,
     served: AtomicU64,
+    /// Time by which timers have overshot so far, taken off the work that
+    /// follows, so that the mean is as set.
+    overshot: Mutex<Duration>,
 }
 
 impl std::fmt::Debug for State {
@@ -60,6 +63,24 @@
     }
 }
 
+impl State {
+    async fn work(&self, work: Duration) {
+        let credit = {
+            let mut overshot = self.overshot.lock().unwrap_or_else(PoisonError::into_inner);
+            let credit = work.min(*overshot);
+            *overshot -= credit;
+            credit
+        };
+        let wanted = work - credit;
+        let start = Instant::now();
+        if !wanted.is_zero() {
+            tokio::time::sleep(wanted).await;
+        }
+        let over = start.elapsed().saturating_sub(wanted);
+        *self.overshot.lock().unwrap_or_else(PoisonError::into_inner) += over;
+    }
+}
+
 /// A running target.
 #[derive(Debug)]
 pub struct TargetServer {
@@ -83,6 +104,7 @@
             ledger,
             rng: Mutex::new(StdRng::seed_from_u64(options.seed)),
             served: AtomicU64::new(0),
+            overshot: Mutex::default(),
             options,
         });
         let task = serve(listener, Arc::clone(&state), handle);
@@ -135,7 +157,7 @@
     };
     let work = asked.unwrap_or(pace.service).mul_f64(vary * pace.slow);
     if !work.is_zero() {
-        tokio::time::sleep(work).await;
+        state.work(work).await;
     }
     let size = number(&parts.headers, "x-answer-bytes").unwrap_or(0) as usize;
     let mut text = format!("{} {} {}\n", state.options.name, identity.unwrap_or("-"), body.len());
