Spread changes to all near members, and send fewer summaries

Cause: at 30 daemons one change in twenty waited 722 ms for the last daemon, which no announcement had reached and whose next probe was up to a second away; and an idle daemon sent 4,390 bytes a second, most of it the same seven summaries on each probe and a digest written as sixteen numbers.

Announcements now go to 6 near members instead of 3 (a share of e^-6 instead of e^-3 is missed), the two summaries that were passed on least ride on a datagram, digests are bytes, and other data centres are sampled half as often.

A planned stop now also waits for answers that are still on their way out. Tests: the whole path under store faults, restores, restarts and a planned stop; thirteen faulty settings, each with its key; noise and neighbouring releases for the message decoder.

--- a/crates/medlarpoint_bench/src/bin/medlarpoint-bench.rs
+++ b/crates/medlarpoint_bench/src/bin/medlarpoint-bench.rs
@@ -5,7 +5,9 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand, ValueEnum};
-use medlarpoint_bench::experiment::{blocking, convergence, crest, faults, overhead, stragglers};
+use medlarpoint_bench::experiment::{
+    blocking, capacity, convergence, crest, faults, overhead, stragglers,
+};
 use medlarpoint_bench::{Failure, fuzz, node};
 use serde::Serialize;
 
@@ -46,6 +48,8 @@
     },
     /// Time until a change is in force everywhere, and its cost; each daemon is a process.
     Convergence(convergence::Flags),
+    /// Slopes at several sizes, worked out for 1,100 daemons.
+    Capacity(capacity::Flags),
     /// A direct call against one through the proxies.
     Overhead(overhead::Flags),
     /// Demand that swings to three times the capacity.
@@ -105,6 +109,7 @@
     match command {
         Command::Fuzz { .. } => Ok(()),
         Command::Convergence(flags) => print(&convergence::run(&flags).await?, format),
+        Command::Capacity(flags) => print(&capacity::run(&flags).await?, format),
         Command::Overhead(flags) => print(&overhead::run(&flags).await?, format),
         Command::Crest(flags) => print(&crest::run(&flags).await?, format),
         Command::Blocking(flags) => print(&blocking::run(&flags).await?, format),
--- a/crates/medlarpoint_bench/src/experiment.rs
+++ b/crates/medlarpoint_bench/src/experiment.rs
@@ -1,6 +1,7 @@
 //! Experiments: each ends in one JSON object.
 
 pub mod blocking;
+pub mod capacity;
 pub mod convergence;
 pub mod crest;
 pub mod faults;
--- a/crates/medlarpoint_bench/src/fleet.rs
+++ b/crates/medlarpoint_bench/src/fleet.rs
@@ -6,11 +6,12 @@
 
 use medlarpoint_api::Resources;
 use medlarpoint_cli::{Arguments, Exit};
-use medlarpoint_daemon::{Daemon, Log, LogFormat, Options};
+use medlarpoint_daemon::{Daemon, Log, LogFormat, Options, Settings};
 use medlarpoint_model::{Name, Version};
 use medlarpoint_standin::{
     Announcer, Http, Ledger, Pace, StoreServer, TargetOptions, TargetServer,
 };
+use tokio::runtime::Runtime;
 
 use crate::failure::Failure;
 use crate::preset::Service;
@@ -42,6 +43,32 @@
     pub target: Option<TargetServer>,
     announcer: Option<Announcer>,
     service: Option<(Name, u32)>,
+    host: Option<Host>,
+}
+
+/// A thread of its own for a daemon, as a VM would have.
+#[derive(Debug)]
+struct Host(Option<Runtime>);
+
+impl Host {
+    fn new() -> Result<Self, Failure> {
+        let mut builder = tokio::runtime::Builder::new_multi_thread();
+        Ok(Self(Some(builder.worker_threads(1).enable_all().build()?)))
+    }
+
+    async fn start(&self, settings: Settings, log: Log) -> Result<Daemon, Failure> {
+        let runtime = self.0.as_ref().ok_or(Failure::Patience("a runtime"))?;
+        let started = runtime.spawn(Daemon::start(settings, log, None)).await;
+        Ok(started.map_err(|error| Failure::Node(error.to_string()))??)
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            runtime.shutdown_background();
+        }
+    }
 }
 
 /// The fleet.
@@ -116,13 +143,14 @@
         self.foreign_store = Some(address);
     }
 
-    async fn start_daemon(&self, site: &Site) -> Result<Daemon, Failure> {
+    async fn start_daemon(&self, site: &Site) -> Result<(Daemon, Host), Failure> {
         let extra = format!("seeds = {:?}\n{}", self.seeds_text(), self.extra);
         let store = self.foreign_store.unwrap_or(self.store.address());
         let text = settings(site, store, &self.store_region, &extra);
         let settings = Options::parse(&text)?.resolve()?;
         let log = Log::new(LogFormat::Off)?;
-        Ok(Daemon::start(settings, log, None).await?)
+        let host = Host::new()?;
+        Ok((host.start(settings, log).await?, host))
     }
 
     fn seeds_text(&self) -> Vec<String> {
@@ -131,9 +159,15 @@
 
     /// Adds a member with a target of `service`, or without a target.
     pub async fn add(&mut self, site: Site, service: Option<Service>) -> Result<usize, Failure> {
-        let daemon = self.start_daemon(&site).await?;
-        let mut member =
-            Member { site, daemon: Some(daemon), target: None, announcer: None, service: None };
+        let (daemon, host) = self.start_daemon(&site).await?;
+        let mut member = Member {
+            site,
+            daemon: Some(daemon),
+            target: None,
+            announcer: None,
+            service: None,
+            host: Some(host),
+        };
         if let Some(service) = service {
             let name: Name = service.name.parse()?;
             let options = TargetOptions {
@@ -189,8 +223,9 @@
     /// Starts the daemon of a member again.
     pub async fn restart(&mut self, index: usize) -> Result<(), Failure> {
         let site = self.members[index].site.clone();
-        let daemon = self.start_daemon(&site).await?;
+        let (daemon, host) = self.start_daemon(&site).await?;
         self.members[index].daemon = Some(daemon);
+        self.members[index].host = Some(host);
         self.announce(index)
     }
 
--- a/crates/medlarpoint_daemon/src/control.rs
+++ b/crates/medlarpoint_daemon/src/control.rs
@@ -20,7 +20,7 @@
 /// Time between ticks of the control plane.
 const TICK: Duration = Duration::from_millis(100);
 /// Members of the own data centre told at once of a new version.
-const ANNOUNCE_FANOUT: usize = 3;
+const ANNOUNCE_FANOUT: usize = 6;
 /// Members that hold a role.
 pub(crate) const ROLE_HOLDERS: usize = 2;
 /// Time a new reporter collects reports before it sums up without all of them.
--- a/crates/medlarpoint_daemon/src/daemon.rs
+++ b/crates/medlarpoint_daemon/src/daemon.rs
@@ -200,8 +200,10 @@
         shared.stopping.store(true, Ordering::Release);
         shared.changed();
         loop {
+            // An answer may still be on its way out when its call has ended.
+            let open = shared.connections.load(Ordering::Acquire);
             let left = crate::daemon::unfinished(&shared);
-            if left == 0 {
+            if left == 0 && open == 0 {
                 break;
             }
             if tokio::time::Instant::now() >= deadline {
@@ -288,6 +290,7 @@
         ready: AtomicBool::new(false),
         stopping: AtomicBool::new(false),
         outbound_calls: AtomicU64::new(0),
+        connections: AtomicU64::new(0),
         pull: Notify::new(),
         changes: watch::Sender::new(0),
         closed: watch::Sender::new(false),
--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -42,7 +42,9 @@
     NoRoute,
     #[error("the chain of calls is deeper than {MAX_DEPTH}: it may be a loop")]
     TooDeep,
-    #[error("the request body is too large, too slow or broke off")]
+    #[error("the request body is larger than `limits.body_bytes` allows")]
+    BodySize,
+    #[error("the request body is too slow or broke off")]
     BadBody,
     #[error("the service has no target in reach")]
     NoService,
@@ -54,6 +56,7 @@
             Self::Starting | Self::NoService => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::TooDeep => StatusCode::LOOP_DETECTED,
+            Self::BodySize => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BadBody => StatusCode::BAD_REQUEST,
         }
     }
@@ -185,6 +188,9 @@
         return refuse(Unroutable::NoService);
     };
     let (mut parts, body) = request.into_parts();
+    if body.size_hint().lower() > shared.settings.options.limits.body_bytes {
+        return refuse(Unroutable::BodySize);
+    }
     let Some(payload) = keep_body(shared, body).await else {
         return refuse(Unroutable::BadBody);
     };
--- a/crates/medlarpoint_daemon/src/reader.rs
+++ b/crates/medlarpoint_daemon/src/reader.rs
@@ -27,7 +27,7 @@
 /// Time between renewals of the contacts.
 const CONTACTS_PERIOD: Duration = Duration::from_secs(10);
 /// Age up to which a daemon looks for others more often.
-const YOUNG: Duration = Duration::from_secs(20);
+const YOUNG: Duration = Duration::from_secs(10);
 /// Name of the source of a version read from the store.
 const STORE: &str = "the store";
 
--- a/crates/medlarpoint_daemon/src/server.rs
+++ b/crates/medlarpoint_daemon/src/server.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::{Request, Response};
@@ -57,10 +58,12 @@
         };
         let shared = Arc::clone(&shared);
         tokio::spawn(async move {
+            shared.connections.fetch_add(1, Ordering::AcqRel);
             match kind {
                 Listener::Calls => serve_stream(&shared, stream, outbound::serve).await,
                 Listener::Inbound => serve_stream(&shared, stream, inbound::serve).await,
             }
+            shared.connections.fetch_sub(1, Ordering::AcqRel);
             drop(permit);
         });
     }
--- a/crates/medlarpoint_daemon/src/settings.rs
+++ b/crates/medlarpoint_daemon/src/settings.rs
@@ -223,10 +223,11 @@
 impl Options {
     /// Parses the text of a settings file.
     pub fn parse(text: &str) -> Result<Self, InvalidSettings> {
-        toml::from_str(text).map_err(|error| {
-            let start = error.span().map_or(0, |span| span.start);
-            let line = text.get(..start).map_or(1, |before| before.matches('\n').count() + 1);
-            InvalidSettings::Malformed { line, message: error.message().to_owned() }
+        let document =
+            toml::Deserializer::parse(text).map_err(|error| malformed(text, "", &error))?;
+        serde_path_to_error::deserialize(document).map_err(|error| {
+            let key = error.path().to_string();
+            malformed(text, &key, error.inner())
         })
     }
 
@@ -282,6 +283,15 @@
     }
 }
 
+fn malformed(text: &str, key: &str, error: &toml::de::Error) -> InvalidSettings {
+    let start = error.span().map_or(0, |span| span.start);
+    let line = text.get(..start).map_or(1, |before| before.matches('\n').count() + 1);
+    let named = !key.is_empty() && key != ".";
+    let message =
+        if named { format!("{key}: {}", error.message()) } else { error.message().to_owned() };
+    InvalidSettings::Malformed { line, message }
+}
+
 fn value(key: &'static str, message: &str) -> InvalidSettings {
     InvalidSettings::Value { key, message: message.to_owned() }
 }
@@ -310,3 +320,6 @@
     }
     Ok(Some(token))
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/medlarpoint_daemon/src/state.rs
+++ b/crates/medlarpoint_daemon/src/state.rs
@@ -101,6 +101,8 @@
     pub(crate) stopping: AtomicBool,
     /// Calls from callers that are not answered yet.
     pub(crate) outbound_calls: AtomicU64,
+    /// Open connections of callers and of other daemons' outbound proxies.
+    pub(crate) connections: AtomicU64,
     /// Wakes the pull loop.
     pub(crate) pull: Notify,
     /// Counts changes that operators can watch.
--- a/crates/medlarpoint_daemon/src/view.rs
+++ b/crates/medlarpoint_daemon/src/view.rs
@@ -13,7 +13,7 @@
 use crate::state::{Control, Shared, lock};
 
 /// Age at which a data centre's summary no longer says what is in force.
-const STALE: Duration = Duration::from_secs(10);
+const STALE: Duration = Duration::from_secs(15);
 
 /// Newest version any data centre is known to have.
 fn newest(control: &Control) -> Version {
--- a/crates/medlarpoint_membership/src/detector.rs
+++ b/crates/medlarpoint_membership/src/detector.rs
@@ -517,7 +517,7 @@
         Gossip {
             tip: self.tip,
             records: records.map(|member| member.record.clone()).collect(),
-            summaries: self.summaries.fresh(now, self.options.stale),
+            summaries: self.summaries.take(now, self.options.stale),
             views: if views { self.table.views() } else { Vec::new() },
         }
     }
--- a/crates/medlarpoint_membership/src/options.rs
+++ b/crates/medlarpoint_membership/src/options.rs
@@ -34,12 +34,12 @@
             timeout: Duration::from_millis(300),
             indirect: 3,
             suspicion: Duration::from_secs(3),
-            region_rate: 2.0,
-            remote_rate: 1.0,
+            region_rate: 1.0,
+            remote_rate: 0.5,
             tombstone: Duration::from_secs(600),
             view_every: 10,
             sync_gap: Duration::from_secs(3),
-            stale: Duration::from_secs(10),
+            stale: Duration::from_secs(15),
         }
     }
 }
--- a/crates/medlarpoint_model/src/digest.rs
+++ b/crates/medlarpoint_model/src/digest.rs
@@ -4,7 +4,8 @@
 
 use indexmap::IndexMap;
 use schemars::JsonSchema;
-use serde::{Deserialize, Serialize};
+use serde::de::{Error, Visitor};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 use crate::{Entry, Key};
 
@@ -15,11 +16,45 @@
 ///
 /// Two configurations with the same digest hold the same resources, each last
 /// changed in the same version.
-#[derive(
-    Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, JsonSchema,
-)]
-#[serde(transparent)]
-pub struct Digest([u8; DIGEST_BYTES]);
+#[derive(Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, JsonSchema)]
+#[schemars(transparent)]
+pub struct Digest(#[schemars(with = "String")] [u8; DIGEST_BYTES]);
+
+/// Hexadecimal where people read it, bytes elsewhere.
+impl Serialize for Digest {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            return serializer.collect_str(self);
+        }
+        serializer.serialize_bytes(&self.0)
+    }
+}
+
+impl<'de> Deserialize<'de> for Digest {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if deserializer.is_human_readable() {
+            let text = String::deserialize(deserializer)?;
+            let value = u128::from_str_radix(&text, 16).map_err(D::Error::custom)?;
+            return Ok(Self(value.to_be_bytes()));
+        }
+        deserializer.deserialize_bytes(BytesVisitor)
+    }
+}
+
+struct BytesVisitor;
+
+impl Visitor<'_> for BytesVisitor {
+    type Value = Digest;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{DIGEST_BYTES} bytes")
+    }
+
+    fn visit_bytes<E: Error>(self, bytes: &[u8]) -> Result<Digest, E> {
+        let bytes = bytes.try_into().map_err(|_| E::invalid_length(bytes.len(), &self))?;
+        Ok(Digest(bytes))
+    }
+}
 
 impl Digest {
     /// Computes the digest of `entries`, which must be sorted by key.
--- a/crates/medlarpoint_wire/src/frame.rs
+++ b/crates/medlarpoint_wire/src/frame.rs
@@ -77,3 +77,6 @@
     }
     Ok(())
 }
+
+#[cfg(test)]
+mod tests;
