--- a/crates/medlarpoint_daemon/src/lib.rs
+++ b/crates/medlarpoint_daemon/src/lib.rs
@@ -8,6 +8,7 @@
 mod cuts;
 mod daemon;
 mod event;
+mod exchange;
 mod explain;
 mod header;
 mod inbound;
--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -1,25 +1,19 @@
 //! The outbound proxy: takes calls from callers and brings them to a target.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, request};
+use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
-use medlarpoint_model::{Class, Vm};
-use medlarpoint_routing::{
-    AttemptId, Call, CallAction, CallEvent, Choice, Claim, Final, IdempotencyKey, Known, Load,
-    Outcome, Pick, Plan, Point, Terms, Verdict,
-};
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::task::AbortHandle;
+use medlarpoint_model::Class;
+use medlarpoint_routing::{IdempotencyKey, Outcome, Plan, Terms};
 
-use crate::body::{Body, Finish};
+use crate::body::Body;
+use crate::exchange::{Exchange, Payload};
 use crate::limit::Pace;
-use crate::pool::{ExchangeError, Lease};
 use crate::state::{ServiceState, Shared, lock};
 use crate::{header, inbound};
 
@@ -29,8 +23,6 @@
 const MAX_DEPTH: u32 = 32;
 /// Silence after which the inbound proxy is asked about an attempt.
 const SUSPECT_AFTER: Duration = Duration::from_millis(500);
-/// Longest time a question about an attempt may take.
-const QUERY_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Why a call was refused before it was routed. Nothing ran.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr, thiserror::Error)]
@@ -62,60 +54,6 @@
     }
 }
 
-/// Request body of a call.
-enum Payload {
-    /// Kept, and sent with each attempt.
-    Kept(Bytes),
-    /// Streams with the first attempt that takes it.
-    Stream(Option<Body>),
-}
-
-/// Something that happened to an attempt, with the answer if there is one.
-struct News {
-    event: CallEvent,
-    response: Option<Arrived>,
-}
-
-/// An answer that has begun to arrive.
-struct Arrived {
-    attempt: AttemptId,
-    response: Response<Incoming>,
-    lease: Lease,
-}
-
-/// Chooses targets for one call.
-struct Chooser<'a> {
-    service: &'a ServiceState,
-    class: Class,
-    key: Option<IdempotencyKey>,
-}
-
-impl Pick for Chooser<'_> {
-    fn pick(&mut self, now: Duration, exclude: &[Vm]) -> Option<Choice> {
-        let mut picker = lock(&self.service.picker);
-        match self.key {
-            Some(key) => picker.pick_keyed(key, exclude),
-            None => picker.pick(now, self.class, exclude),
-        }
-    }
-
-    fn locate(&mut self, _now: Duration, vm: &Vm) -> Option<Choice> {
-        lock(&self.service.picker).locate(vm)
-    }
-
-    fn may_retry(&mut self) -> bool {
-        lock(&self.service.retries).spend()
-    }
-
-    fn may_hedge(&mut self) -> bool {
-        lock(&self.service.hedges).spend()
-    }
-
-    fn attempt_id(&mut self) -> AttemptId {
-        AttemptId(rand::random())
-    }
-}
-
 /// Answers a caller.
 pub(crate) async fn serve(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
     let _counted = Counted::new(&shared);
@@ -211,20 +149,8 @@
     };
     lock(&service.retries).earn(plan.policy.retry_budget_percent);
     lock(&service.hedges).earn(plan.policy.hedge_budget_percent);
-    let (sender, receiver) = unbounded_channel();
-    let exchange = Exchange {
-        shared: Arc::clone(shared),
-        service,
-        plan,
-        parts,
-        payload,
-        key,
-        terms,
-        sender,
-        running: HashMap::new(),
-        arrived: HashMap::new(),
-    };
-    exchange.run(receiver).await
+    let shared = Arc::clone(shared);
+    Exchange::new(shared, service, plan, parts, payload, key, terms).run().await
 }
 
 /// Small bodies are kept; others stream.
@@ -261,292 +187,6 @@
     }
 }
 
-/// One call with its attempts.
-struct Exchange {
-    shared: Arc<Shared>,
-    service: Arc<ServiceState>,
-    plan: Arc<Plan>,
-    parts: request::Parts,
-    payload: Payload,
-    key: Option<IdempotencyKey>,
-    terms: Terms,
-    sender: UnboundedSender<News>,
-    running: HashMap<AttemptId, Running>,
-    arrived: HashMap<AttemptId, Arrived>,
-}
-
-/// An attempt whose answer has not come.
-struct Running {
-    task: AbortHandle,
-    vm: Vm,
-    sent: Duration,
-}
-
-impl Drop for Exchange {
-    fn drop(&mut self) {
-        let now = self.shared.now();
-        for (attempt, running) in self.running.drain() {
-            running.task.abort();
-            lock(&self.service.picker).abandoned(now, &running.vm, attempt);
-        }
-    }
-}
-
-impl Exchange {
-    async fn run(mut self, mut receiver: UnboundedReceiver<News>) -> Response<Body> {
-        let now = self.shared.now();
-        let service = Arc::clone(&self.service);
-        let class = self.plan.route.class;
-        let mut chooser = Chooser { service: &service, class, key: self.key };
-        let (mut call, mut actions) = Call::start(now, self.terms, &mut chooser);
-        loop {
-            if let Some(outcome) = self.perform(actions) {
-                return self.conclude(outcome);
-            }
-            let wake = self.shared.clock.instant(call.wake());
-            let event = tokio::select! {
-                biased;
-                news = receiver.recv() => self.learn(news),
-                () = tokio::time::sleep_until(wake) => CallEvent::Wake,
-            };
-            let now = self.shared.now();
-            actions = call.on(now, event, &mut chooser);
-        }
-    }
-
-    fn perform(&mut self, actions: Vec<CallAction>) -> Option<Final> {
-        let mut outcome = None;
-        for action in actions {
-            match action {
-                CallAction::Send(attempt, choice) => self.send(attempt, choice),
-                CallAction::Query(attempt, choice) => self.query(attempt, &choice),
-                CallAction::Cancel(attempt) => self.cancel(attempt),
-                CallAction::Finish(end) => outcome = Some(end),
-            }
-        }
-        outcome
-    }
-
-    fn send(&mut self, attempt: AttemptId, choice: Choice) {
-        let now = self.shared.now();
-        let body = match &mut self.payload {
-            Payload::Kept(bytes) => Some(Body::whole(bytes.clone())),
-            Payload::Stream(body) => body.take(),
-        };
-        let Some(body) = body else {
-            // The body went with an earlier attempt; nothing more can be sent.
-            let verdict =
-                Verdict::NotRun { point: Point::Refused, retry_after: Duration::from_millis(100) };
-            let event = CallEvent::Answered(attempt, verdict);
-            // The receiver lives as long as this exchange.
-            let _ = self.sender.send(News { event, response: None });
-            return;
-        };
-        let class = self.plan.route.class;
-        lock(&self.service.picker).sent(now, &choice.vm, attempt, class);
-        let request = self.request(attempt, &choice, body);
-        let repeatable = self.terms.repeatable;
-        let (pool, sender) = (Arc::clone(&self.shared.pool), self.sender.clone());
-        let address = choice.address;
-        let task = tokio::spawn(async move {
-            let exchanged = pool.exchange(address, request, repeatable).await;
-            // Nobody listens once the call is over.
-            let _ = sender.send(news(attempt, exchanged));
-        });
-        let running = Running { task: task.abort_handle(), vm: choice.vm, sent: now };
-        self.running.insert(attempt, running);
-    }
-
-    fn request(&self, attempt: AttemptId, choice: &Choice, body: Body) -> Request<Body> {
-        let mut request = Request::new(body);
-        *request.method_mut() = self.parts.method.clone();
-        let path = self.parts.uri.path_and_query().cloned();
-        *request.uri_mut() = path.map(Uri::from).unwrap_or_default();
-        let headers = request.headers_mut();
-        *headers = self.parts.headers.clone();
-        if !headers.contains_key(http::header::HOST)
-            && let Some(authority) = self.parts.uri.authority()
-        {
-            header::set(headers, http::header::HOST, authority.as_str());
-        }
-        let left = self.terms.deadline.saturating_sub(self.shared.now());
-        header::set(headers, header::FLEET, self.shared.fleet().as_str());
-        header::set(headers, header::ATTEMPT, &attempt.to_string());
-        header::set(headers, header::BOOT, &choice.boot.to_string());
-        header::set(headers, header::ROUTE, self.plan.route.name.as_str());
-        header::set(headers, header::DEADLINE_MS, &left.as_millis().to_string());
-        let retry = if self.terms.repeatable { inbound::REPEATABLE } else { "no" };
-        header::set(headers, header::RETRY, retry);
-        request
-    }
-
-    fn query(&self, attempt: AttemptId, choice: &Choice) {
-        let now = self.shared.now();
-        let sent = self.running.get(&attempt).map_or(now, |running| running.sent);
-        let age = now.saturating_sub(sent);
-        let mut request = Request::new(Body::empty());
-        *request.uri_mut() = Uri::from_static("/");
-        let headers = request.headers_mut();
-        header::set(headers, http::header::HOST, &choice.address.to_string());
-        header::set(headers, header::FLEET, self.shared.fleet().as_str());
-        header::set(headers, header::QUERY, &attempt.to_string());
-        header::set(headers, header::BOOT, &choice.boot.to_string());
-        header::set(headers, header::AGE_MS, &age.as_millis().to_string());
-        let (pool, sender) = (Arc::clone(&self.shared.pool), self.sender.clone());
-        let address = choice.address;
-        tokio::spawn(async move {
-            let exchange = pool.exchange_anew(address, request);
-            let known = match tokio::time::timeout(QUERY_TIMEOUT, exchange).await {
-                Ok(Ok((response, _))) => inbound::known(response.headers()),
-                _ => Known::Unreachable,
-            };
-            let event = CallEvent::Queried(attempt, known);
-            // Nobody listens once the call is over.
-            let _ = sender.send(News { event, response: None });
-        });
-    }
-
-    fn cancel(&mut self, attempt: AttemptId) {
-        self.arrived.remove(&attempt);
-        if let Some(running) = self.running.remove(&attempt) {
-            running.task.abort();
-            let now = self.shared.now();
-            lock(&self.service.picker).abandoned(now, &running.vm, attempt);
-        }
-    }
-
-    /// Takes news of an attempt and keeps the books of the picker.
-    fn learn(&mut self, news: Option<News>) -> CallEvent {
-        let Some(news) = news else {
-            return CallEvent::Wake;
-        };
-        let now = self.shared.now();
-        let load = news.response.as_ref().and_then(|r| header::load(r.response.headers()));
-        if let CallEvent::Answered(attempt, _) | CallEvent::Failed(attempt, _) = &news.event
-            && let Some(running) = self.running.get(attempt)
-        {
-            let took = now.saturating_sub(running.sent);
-            let vm = running.vm.clone();
-            self.note(now, &vm, *attempt, &news.event, load, took);
-            if matches!(news.event, CallEvent::Answered(..)) {
-                self.running.remove(attempt);
-            }
-        }
-        if let Some(arrived) = news.response {
-            self.arrived.insert(arrived.attempt, arrived);
-        }
-        news.event
-    }
-
-    fn note(
-        &self,
-        now: Duration,
-        vm: &Vm,
-        attempt: AttemptId,
-        event: &CallEvent,
-        load: Option<Load>,
-        took: Duration,
-    ) {
-        let mut picker = lock(&self.service.picker);
-        match event {
-            CallEvent::Answered(_, Verdict::Answer) => {
-                picker.answered(now, vm, attempt, load);
-                drop(picker);
-                let hedge = match self.plan.route.class {
-                    Class::Short => &self.service.short,
-                    Class::Long => &self.service.long,
-                };
-                lock(hedge).observe(now, took);
-            }
-            CallEvent::Answered(..) => picker.refused(now, vm, attempt, load),
-            _ => picker.failed(now, vm, attempt),
-        }
-    }
-
-    /// Answers the caller.
-    fn conclude(mut self, outcome: Final) -> Response<Body> {
-        let Final::Answer(attempt) = outcome else {
-            return told(outcome);
-        };
-        let Some(arrived) = self.arrived.remove(&attempt) else {
-            return told(Final::Ran);
-        };
-        let (mut parts, incoming) = arrived.response.into_parts();
-        header::strip_hop_by_hop(&mut parts.headers);
-        parts.headers.remove(&header::LOAD);
-        Response::from_parts(parts, Body::passing(incoming, Finish::Connection(arrived.lease)))
-    }
-}
-
-fn news(attempt: AttemptId, exchanged: Result<(Response<Incoming>, Lease), ExchangeError>) -> News {
-    match exchanged {
-        Ok((response, lease)) => {
-            let event = CallEvent::Answered(attempt, verdict(response.headers()));
-            News { event, response: Some(Arrived { attempt, response, lease }) }
-        }
-        Err(ExchangeError::Connect(_)) => {
-            News { event: CallEvent::Failed(attempt, Point::Connect), response: None }
-        }
-        Err(ExchangeError::Broken(_)) => {
-            News { event: CallEvent::Failed(attempt, Point::Sent), response: None }
-        }
-    }
-}
-
-/// Reads what an inbound proxy says of an attempt.
-fn verdict(headers: &HeaderMap) -> Verdict {
-    let outcome = header::parse(headers, &header::OUTCOME).unwrap_or(Outcome::Unknown);
-    let point: Option<Point> = headers.get(&header::POINT).and_then(parse_point);
-    match outcome {
-        Outcome::NotRun => Verdict::NotRun {
-            point: point.unwrap_or(Point::Refused),
-            retry_after: header::millis(headers, &header::RETRY_AFTER_MS).unwrap_or_default(),
-        },
-        Outcome::Ran if point.is_some() => Verdict::Ran,
-        Outcome::Ran => Verdict::Answer,
-        Outcome::Unknown => {
-            let vm = header::parse(headers, &header::CLAIM_VM);
-            let boot = header::parse(headers, &header::CLAIM_BOOT);
-            match (vm, boot) {
-                (Some(vm), Some(boot)) => Verdict::ClaimedBy(Claim { vm, boot }),
-                _ => Verdict::Unknown(point.unwrap_or(Point::Sent)),
-            }
-        }
-    }
-}
-
-fn parse_point(value: &HeaderValue) -> Option<Point> {
-    value.to_str().ok()?.parse().ok()
-}
-
-/// Writes an answer that does not come from the target.
-fn told(outcome: Final) -> Response<Body> {
-    let (status, outcome, point, retry_after) = match outcome {
-        Final::NotRun { point, retry_after } => {
-            (StatusCode::SERVICE_UNAVAILABLE, Outcome::NotRun, point, Some(retry_after))
-        }
-        Final::Ran | Final::Answer(_) => {
-            (StatusCode::BAD_GATEWAY, Outcome::Ran, Point::HalfAnswer, None)
-        }
-        Final::Unknown(Point::Deadline) => {
-            (StatusCode::GATEWAY_TIMEOUT, Outcome::Unknown, Point::Deadline, None)
-        }
-        Final::Unknown(point) => (StatusCode::BAD_GATEWAY, Outcome::Unknown, point, None),
-    };
-    let text = format!("{outcome} at {point}: {}\n", point.reason());
-    let mut response = Response::new(Body::whole(text.into()));
-    *response.status_mut() = status;
-    let headers = response.headers_mut();
-    header::set(headers, header::OUTCOME, outcome.into());
-    header::set(headers, header::POINT, point.into());
-    if let Some(after) = retry_after {
-        header::set(headers, header::RETRY_AFTER_MS, &after.as_millis().to_string());
-        let seconds = after.as_millis().div_ceil(1_000).max(1).to_string();
-        header::set(headers, http::header::RETRY_AFTER, &seconds);
-    }
-    response
-}
-
 fn refuse(reason: Unroutable) -> Response<Body> {
     let mut response = Response::new(Body::whole(format!("{reason}\n").into()));
     *response.status_mut() = reason.status();
