Bound what falls with the size by its largest measurement

Cause: a line through falling figures gave negative bytes at 1,100 daemons.

Before: -5,309 idle B/s at 1,100.

--- a/crates/medlarpoint_bench/src/experiment/capacity.rs
+++ b/crates/medlarpoint_bench/src/experiment/capacity.rs
@@ -45,7 +45,8 @@
     pub intercept: f64,
     /// Growth per daemon, by least squares.
     pub slope: f64,
-    /// Figure at 1,100 daemons on that line.
+    /// Figure at 1,100 daemons: on that line, or that of the largest size where
+    /// the figure falls.
     pub at_1100: f64,
     /// What is allowed, if anything is.
     pub budget: Option<f64>,
@@ -76,7 +77,10 @@
     let variance: f64 = measured.keys().map(|x| (*x as f64 - mean_x).powi(2)).sum();
     let slope = if variance > 0.0 { covariance / variance } else { 0.0 };
     let intercept = mean_y - slope * mean_x;
-    Line { measured, intercept, slope, at_1100: intercept + slope * DAEMONS, budget }
+    // What falls with the size levels off above zero: the largest size bounds it.
+    let largest = measured.last().map_or(0.0, |(_, figure)| *figure);
+    let at_1100 = if slope > 0.0 { intercept + slope * DAEMONS } else { largest };
+    Line { measured, intercept, slope, at_1100, budget }
 }
 
 /// Runs the experiment.
