Let one piece of code serve where two stood

Behaviour is unchanged.

- The detector built a probe in five places; probe_at and send_probe serve all.
- The age at which a summary is stale stood in the detector's options and in the status view; the view now asks the detector, so they cannot part.
- Pool::exchange ended in a copy of exchange_anew, and both listeners compared the fleet header themselves.
- The experiments each built the same load and read /proc on their own.

--- a/crates/medlarpoint_bench/src/experiment/blocking.rs
+++ b/crates/medlarpoint_bench/src/experiment/blocking.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use medlarpoint_standin::{Kind, Load, Phase, Tally};
+use medlarpoint_standin::Tally;
 use serde::Serialize;
 
 use crate::Failure;
@@ -71,24 +71,16 @@
     let slots = service.targets as f64 * f64::from(service.slots);
     let short_rate = setting.capacity(service) * SHORT_SHARE;
     let long_rate = slots / LONG_WORK.as_secs_f64() * LONG_SHARE;
-    let load = |addresses: &[std::net::SocketAddr], kind: &Kind, rate: f64, label: &str| Load {
-        addresses: addresses.to_vec(),
-        kinds: vec![kind.clone()],
-        phases: vec![Phase { duration: setting.duration(), rate }],
-        timeout: Duration::from_secs(12),
-        resends: 0,
-        seed: setting.seed,
-        label: label.to_owned(),
-    };
-    let targets: Vec<_> =
-        fleet.members.iter().filter_map(|m| Some(m.target.as_ref()?.address())).collect();
     let mut ways = Vec::new();
-    for (way, addresses) in [("proxied", fleet.calls()), ("direct", targets)] {
-        let alone = load(&addresses, &short, short_rate, &format!("{way}-alone")).run().await;
-        let other = tokio::spawn(load(&addresses, &long, long_rate, &format!("{way}-long")).run());
+    for (way, addresses) in [("proxied", fleet.calls()), ("direct", fleet.targets())] {
+        let alone =
+            setting.load(&addresses, &short, short_rate, &format!("{way}-alone")).run().await;
+        let other =
+            tokio::spawn(setting.load(&addresses, &long, long_rate, &format!("{way}-long")).run());
         // Long work has filled its share before the short work is measured.
         tokio::time::sleep(LONG_WORK * 3).await;
-        let beside = load(&addresses, &short, short_rate, &format!("{way}-beside")).run().await;
+        let beside =
+            setting.load(&addresses, &short, short_rate, &format!("{way}-beside")).run().await;
         let other = other.await.unwrap_or_default();
         let (alone, beside) = (alone.kind(short.name), beside.kind(short.name));
         ways.push(figures(&alone, &beside, &other.kind(long.name)));
--- a/crates/medlarpoint_bench/src/experiment/crest.rs
+++ b/crates/medlarpoint_bench/src/experiment/crest.rs
@@ -1,5 +1,6 @@
 //! Service at the crest of a demand swing.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use medlarpoint_standin::{Kind, Load, Phase, Tally};
@@ -97,18 +98,13 @@
     let mut kind: Kind = setting.preset.kinds().swap_remove(0);
     let name = kind.name;
     kind.headers.push(("medlarpoint-deadline-ms", DEADLINE.as_millis().to_string()));
-    let load = |addresses, label: &str| Load {
-        addresses,
-        kinds: vec![kind.clone()],
+    let load = |addresses: &[SocketAddr], label: &str| Load {
         phases: phases(capacity, setting.duration()),
         timeout: DEADLINE + Duration::from_millis(200),
-        resends: 0,
-        seed: setting.seed,
-        label: label.to_owned(),
+        ..setting.load(addresses, &kind, capacity, label)
     };
-    let proxied = load(fleet.calls(), "proxied").run().await.kind(name);
-    let targets = fleet.members.iter().filter_map(|m| Some(m.target.as_ref()?.address()));
-    let direct = load(targets.collect(), "direct").run().await.kind(name);
+    let proxied = load(&fleet.calls(), "proxied").run().await.kind(name);
+    let direct = load(&fleet.targets(), "direct").run().await.kind(name);
     fleet.close().await;
     Ok(Report {
         capacity,
--- a/crates/medlarpoint_bench/src/experiment/overhead.rs
+++ b/crates/medlarpoint_bench/src/experiment/overhead.rs
@@ -1,12 +1,14 @@
 //! What a call through two proxies costs over a direct one.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use medlarpoint_standin::{Kind, Load, Phase};
+use medlarpoint_standin::{Kind, Load};
 use serde::Serialize;
 
+use crate::Failure;
 use crate::experiment::{Setting, quantile_ms};
-use crate::{Failure, Fleet};
+use crate::usage::Usage;
 
 /// Rate before the measurement, relative to the measured one.
 const WARM_FACTOR: f64 = 3.0;
@@ -48,48 +50,36 @@
     kind
 }
 
-fn load(flags: &Flags, addresses: Vec<std::net::SocketAddr>, label: &str, rate: f64) -> Load {
-    Load {
-        addresses,
-        kinds: vec![kind(&flags.setting)],
-        phases: vec![Phase { duration: flags.setting.duration(), rate }],
-        timeout: Duration::from_secs(5),
-        resends: 0,
-        seed: flags.setting.seed,
-        label: label.to_owned(),
-    }
+fn load(flags: &Flags, addresses: &[SocketAddr], label: &str, rate: f64) -> Load {
+    let setting = &flags.setting;
+    Load { timeout: Duration::from_secs(5), ..setting.load(addresses, &kind(setting), rate, label) }
 }
 
-/// Returns the processor time of this process.
+/// Returns the processor time of this process, in seconds.
 fn cpu() -> f64 {
-    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
-    let fields: Vec<&str> =
-        stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
-    let ticks = |index: usize| fields.get(index).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
-    (ticks(11) + ticks(12)) / 100.0
+    Usage::read("self").unwrap_or_default().cpu_s
 }
 
 /// Runs the experiment.
 pub async fn run(flags: &Flags) -> Result<Report, Failure> {
     let service = flags.setting.service(0);
     let fleet = flags.setting.fleet(service, "").await?;
-    let targets: Vec<_> =
-        fleet.members.iter().filter_map(|m| Some(m.target.as_ref()?.address())).collect();
-    let callers = caller(&fleet)?;
+    let targets = fleet.targets();
+    let callers = vec![fleet.caller()?];
     // Connections are opened before anything is measured.
     for addresses in [&targets, &callers] {
-        load(flags, addresses.clone(), "warm", flags.rate * WARM_FACTOR).run().await;
+        load(flags, addresses, "warm", flags.rate * WARM_FACTOR).run().await;
     }
     // Both at once, so that they meet the same machine.
-    let direct = tokio::spawn(load(flags, targets.clone(), "direct", flags.rate).run());
-    let proxied = tokio::spawn(load(flags, callers.clone(), "proxied", flags.rate).run());
+    let direct = tokio::spawn(load(flags, &targets, "direct", flags.rate).run());
+    let proxied = tokio::spawn(load(flags, &callers, "proxied", flags.rate).run());
     let name = flags.setting.preset.kinds().swap_remove(0).name;
     let direct = direct.await.unwrap_or_default().kind(name);
     let proxied = proxied.await.unwrap_or_default().kind(name);
     // One after the other, to tell their processor time apart.
     let busy = flags.rate * WARM_FACTOR;
-    let (direct_cost, _) = cost(load(flags, targets, "direct2", busy), name).await;
-    let (proxied_cost, failed) = cost(load(flags, callers, "proxied2", busy), name).await;
+    let (direct_cost, _) = cost(load(flags, &targets, "direct2", busy), name).await;
+    let (proxied_cost, failed) = cost(load(flags, &callers, "proxied2", busy), name).await;
     fleet.close().await;
     Ok(Report {
         calls: direct.total(),
@@ -102,11 +92,6 @@
     })
 }
 
-fn caller(fleet: &Fleet) -> Result<Vec<std::net::SocketAddr>, Failure> {
-    let last = fleet.members.len() - 1;
-    Ok(vec![fleet.members[last].daemon()?.addresses().calls])
-}
-
 /// Returns the processor time per call, in seconds.
 async fn cost(load: Load, name: &str) -> (f64, u64) {
     let before = cpu();
--- a/crates/medlarpoint_bench/src/experiment/setting.rs
+++ b/crates/medlarpoint_bench/src/experiment/setting.rs
@@ -1,11 +1,16 @@
 //! What the experiments on calls have in common.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
+use medlarpoint_standin::{Kind, Load, Phase};
 
 use crate::{Failure, Fleet, Preset, Service, Site};
 
+/// Longest time a caller waits for an answer.
+const TIMEOUT: Duration = Duration::from_secs(12);
+
 /// Flags of the experiments on calls.
 #[derive(Clone, Debug, clap::Args)]
 pub struct Setting {
@@ -55,6 +60,19 @@
         Duration::from_secs(self.seconds)
     }
 
+    /// Returns a load of one length and rate, without resends.
+    pub fn load(&self, addresses: &[SocketAddr], kind: &Kind, rate: f64, label: &str) -> Load {
+        Load {
+            addresses: addresses.to_vec(),
+            kinds: vec![kind.clone()],
+            phases: vec![Phase { duration: self.duration(), rate }],
+            timeout: TIMEOUT,
+            resends: 0,
+            seed: self.seed,
+            label: label.to_owned(),
+        }
+    }
+
     /// Starts a fleet in one data centre with one service and its configuration
     /// in force, and a further daemon without a target for the callers.
     pub async fn fleet(&self, service: Service, extra: &str) -> Result<Fleet, Failure> {
--- a/crates/medlarpoint_bench/src/experiment/stragglers.rs
+++ b/crates/medlarpoint_bench/src/experiment/stragglers.rs
@@ -6,7 +6,7 @@
 
 use indexmap::IndexMap;
 use medlarpoint_routing::Strategy;
-use medlarpoint_standin::{Load, Phase};
+use medlarpoint_standin::Load;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde::Serialize;
@@ -78,16 +78,10 @@
     let rate = setting.capacity(service) * DEMAND;
     let kind = setting.preset.kinds().swap_remove(0);
     let name = kind.name;
-    let last = fleet.members.len() - 1;
-    let calls = vec![fleet.members[last].daemon()?.addresses().calls];
+    let calls = [fleet.caller()?];
     let load = |label: &str| Load {
-        addresses: calls.clone(),
-        kinds: vec![kind.clone()],
-        phases: vec![Phase { duration: setting.duration(), rate }],
         timeout: Duration::from_secs(5),
-        resends: 0,
-        seed: setting.seed,
-        label: label.to_owned(),
+        ..setting.load(&calls, &kind, rate, label)
     };
     let without = load("without").run().await.kind(name);
     let before = fleet.ledger.total();
--- a/crates/medlarpoint_bench/src/fleet.rs
+++ b/crates/medlarpoint_bench/src/fleet.rs
@@ -335,6 +335,17 @@
         Ok(())
     }
 
+    /// Returns where the targets take calls without a proxy.
+    pub fn targets(&self) -> Vec<SocketAddr> {
+        self.members.iter().filter_map(|m| Some(m.target.as_ref()?.address())).collect()
+    }
+
+    /// Returns where callers connect to the member that was added last.
+    pub fn caller(&self) -> Result<SocketAddr, Failure> {
+        let last = self.members.last().ok_or_else(|| Failure::Down("every member".to_owned()))?;
+        Ok(last.daemon()?.addresses().calls)
+    }
+
     /// Returns where callers connect.
     pub fn calls(&self) -> Vec<SocketAddr> {
         self.members.iter().filter_map(|m| Some(m.daemon.as_ref()?.addresses().calls)).collect()
--- a/crates/medlarpoint_bench/src/lib.rs
+++ b/crates/medlarpoint_bench/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod node;
 mod preset;
 mod processes;
+mod usage;
 
 pub use failure::Failure;
 pub use fleet::{Fleet, Member, Site, settings};
--- a/crates/medlarpoint_bench/src/processes.rs
+++ b/crates/medlarpoint_bench/src/processes.rs
@@ -14,12 +14,9 @@
 use tokio::process::{Child, Command};
 
 use crate::node::Line;
+use crate::usage::Usage;
 use crate::{Failure, Site, settings};
 
-/// Ticks of processor time per second, as Linux counts them.
-const TICKS_PER_SECOND: f64 = 100.0;
-/// Size of a page of memory, in bytes.
-const PAGE_BYTES: f64 = 4_096.0;
 /// Longest wait for nodes.
 const PATIENCE: Duration = Duration::from_secs(120);
 /// Region of each of seven data centres in turn.
@@ -66,15 +63,6 @@
     }
 }
 
-/// Processor time and memory of processes.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Usage {
-    /// Processor time of all, in seconds.
-    pub(crate) cpu_s: f64,
-    /// Resident memory per process, in megabytes.
-    pub(crate) rss_mb: f64,
-}
-
 /// Node processes with their store.
 #[derive(Debug)]
 pub(crate) struct Processes {
@@ -188,20 +176,16 @@
         }
     }
 
-    /// Reads processor time and memory of all nodes.
+    /// Reads the processor time of all nodes, and their mean memory.
     pub(crate) fn usage(&self) -> Result<Usage, Failure> {
         let mut usage = Usage::default();
         for node in &self.nodes {
             let Some(id) = node.child.id() else {
                 continue;
             };
-            let stat = std::fs::read_to_string(format!("/proc/{id}/stat"))?;
-            let fields: Vec<&str> =
-                stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
-            let ticks = |index: usize| fields.get(index).and_then(|f| f.parse::<f64>().ok());
-            usage.cpu_s += (ticks(11).unwrap_or(0.0) + ticks(12).unwrap_or(0.0)) / TICKS_PER_SECOND;
-            let pages = ticks(21).unwrap_or(0.0);
-            usage.rss_mb += pages * PAGE_BYTES / 1e6 / self.nodes.len() as f64;
+            let one = Usage::read(&id.to_string())?;
+            usage.cpu_s += one.cpu_s;
+            usage.rss_mb += one.rss_mb / self.nodes.len() as f64;
         }
         Ok(usage)
     }
--- /dev/null
+++ b/crates/medlarpoint_bench/src/usage.rs
@@ -0,0 +1,31 @@
+//! Processor time and memory of processes, as Linux counts them.
+
+/// Ticks of processor time per second.
+const TICKS_PER_SECOND: f64 = 100.0;
+/// Size of a page of memory, in bytes.
+const PAGE_BYTES: f64 = 4_096.0;
+/// Places of user time, system time and resident pages behind the name.
+const FIELDS: [usize; 3] = [11, 12, 21];
+
+/// Processor time and memory.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Usage {
+    /// Processor time, in seconds.
+    pub(crate) cpu_s: f64,
+    /// Resident memory, in megabytes.
+    pub(crate) rss_mb: f64,
+}
+
+impl Usage {
+    /// Reads the usage of a process, given its number or `self`.
+    pub(crate) fn read(process: &str) -> std::io::Result<Self> {
+        let stat = std::fs::read_to_string(format!("/proc/{process}/stat"))?;
+        // The name in parentheses may hold spaces.
+        let fields: Vec<&str> =
+            stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+        let [user, system, pages] = FIELDS
+            .map(|place| fields.get(place).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0));
+        let cpu_s = (user + system) / TICKS_PER_SECOND;
+        Ok(Self { cpu_s, rss_mb: pages * PAGE_BYTES / 1e6 })
+    }
+}
--- a/crates/medlarpoint_cli/src/output.rs
+++ b/crates/medlarpoint_cli/src/output.rs
@@ -39,13 +39,8 @@
 pub(crate) fn resources(resources: &Resources) -> String {
     let mut document: IndexMap<String, Vec<Value>> = IndexMap::new();
     for entry in &resources.entries {
-        let value = match &entry.resource {
-            Resource::Policy(policy) => serde_json::to_value(policy),
-            Resource::Route(route) => serde_json::to_value(route),
-            Resource::Service(service) => serde_json::to_value(service),
-        };
         let kind = entry.resource.key().kind.to_string();
-        document.entry(kind).or_default().push(value.unwrap_or_default());
+        document.entry(kind).or_default().push(value(&entry.resource));
     }
     let text = toml::to_string_pretty(&document).unwrap_or_default();
     format!("# {} {}\n{text}", resources.version, resources.digest)
@@ -74,12 +69,17 @@
 }
 
 fn fields(resource: &Resource) -> IndexMap<String, Value> {
+    serde_json::from_value(value(resource)).unwrap_or_default()
+}
+
+/// Renders a resource as a document has it, without its kind.
+fn value(resource: &Resource) -> Value {
     let value = match resource {
         Resource::Policy(policy) => serde_json::to_value(policy),
         Resource::Route(route) => serde_json::to_value(route),
         Resource::Service(service) => serde_json::to_value(service),
     };
-    serde_json::from_value(value.unwrap_or_default()).unwrap_or_default()
+    value.unwrap_or_default()
 }
 
 pub(crate) fn status(status: &Status, now_ms: u64, palette: Palette) -> String {
--- a/crates/medlarpoint_daemon/src/header.rs
+++ b/crates/medlarpoint_daemon/src/header.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderName, HeaderValue};
+use medlarpoint_model::Name;
 use medlarpoint_routing::Load;
 
 /// Fleet of the sender.
@@ -59,6 +60,11 @@
     http::header::UPGRADE,
 ];
 
+/// Tells whether a message comes from a daemon of `fleet`.
+pub(crate) fn is_of(headers: &HeaderMap, fleet: &Name) -> bool {
+    headers.get(&FLEET).is_some_and(|found| found.as_bytes() == fleet.as_str().as_bytes())
+}
+
 /// Parses a header value.
 pub(crate) fn parse<T: FromStr>(headers: &HeaderMap, name: &HeaderName) -> Option<T> {
     headers.get(name)?.to_str().ok()?.parse().ok()
--- a/crates/medlarpoint_daemon/src/inbound.rs
+++ b/crates/medlarpoint_daemon/src/inbound.rs
@@ -208,8 +208,7 @@
 
 /// Answers an attempt or a question about one.
 pub(crate) async fn serve(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
-    let fleet = request.headers().get(&header::FLEET);
-    if fleet.is_none_or(|fleet| fleet.as_bytes() != shared.fleet().as_str().as_bytes()) {
+    if !header::is_of(request.headers(), shared.fleet()) {
         return malformed(&Malformed::Fleet);
     }
     if request.headers().contains_key(&header::QUERY) {
--- a/crates/medlarpoint_daemon/src/peer.rs
+++ b/crates/medlarpoint_daemon/src/peer.rs
@@ -224,8 +224,7 @@
 }
 
 async fn handle(shared: &Shared, request: Request<Incoming>) -> Result<Vec<u8>, RefusedError> {
-    let fleet = request.headers().get(&header::FLEET);
-    if fleet.is_none_or(|fleet| fleet.as_bytes() != shared.fleet().as_str().as_bytes()) {
+    if !header::is_of(request.headers(), shared.fleet()) {
         return Err(RefusedError::Fleet);
     }
     let path = request.uri().path().to_owned();
--- a/crates/medlarpoint_daemon/src/pool.rs
+++ b/crates/medlarpoint_daemon/src/pool.rs
@@ -110,11 +110,7 @@
                 },
             }
         }
-        let mut sender = self.connect(address).await?;
-        match sender.send_request(request).await {
-            Ok(response) => Ok((response, self.lease(address, sender))),
-            Err(error) => Err(ExchangeError::Broken(error)),
-        }
+        self.exchange_anew(address, request).await
     }
 
     /// Sends a request on a new connection.
--- a/crates/medlarpoint_daemon/src/view.rs
+++ b/crates/medlarpoint_daemon/src/view.rs
@@ -12,9 +12,6 @@
 
 use crate::state::{Control, Shared, lock};
 
-/// Age at which a data centre's summary no longer says what is in force.
-const STALE: Duration = Duration::from_secs(15);
-
 /// Newest version any data centre is known to have.
 fn newest(control: &Control) -> Version {
     let summaries = control.detector.summaries().iter().map(|s| s.summary.version);
@@ -27,8 +24,13 @@
     let options = &shared.settings.options;
     let newest = newest(&control);
     let now = shared.now();
-    let mut data_centres: Vec<Place> =
-        control.detector.summaries().iter().map(|summed| place(summed, newest, now)).collect();
+    let stale = control.detector.options().stale;
+    let mut data_centres: Vec<Place> = control
+        .detector
+        .summaries()
+        .iter()
+        .map(|summed| place(summed, newest, now, stale))
+        .collect();
     data_centres.sort_unstable_by(|a, b| a.data_centre.cmp(&b.data_centre));
     let down = control.store_down.clone();
     let tip = control.replica.tip();
@@ -52,10 +54,12 @@
     }
 }
 
-fn place(summed: &Summed, newest: Version, now: Duration) -> Place {
+/// Describes a data centre; a summary older than `stale` no longer says what is
+/// in force.
+fn place(summed: &Summed, newest: Version, now: Duration, stale: Duration) -> Place {
     let summary = &summed.summary;
     let age = now.saturating_sub(summed.heard);
-    let state = match (age >= STALE, summary.version >= newest) {
+    let state = match (age >= stale, summary.version >= newest) {
         (true, _) => PlaceState::Unknown,
         (false, true) => PlaceState::InForce,
         (false, false) => PlaceState::Converging,
--- a/crates/medlarpoint_membership/src/detector.rs
+++ b/crates/medlarpoint_membership/src/detector.rs
@@ -142,6 +142,11 @@
         detector
     }
 
+    /// Returns the periods and limits.
+    pub fn options(&self) -> &Options {
+        &self.options
+    }
+
     /// Returns the own record.
     pub fn me(&self) -> &Record {
         &self.me
@@ -420,10 +425,8 @@
         let Some(record) = self.next_in_order() else {
             return;
         };
-        self.seq += 1;
-        let views = self.seq.is_multiple_of(self.options.view_every);
-        let body = Body::Probe { seq: self.seq, gossip: self.gossip(now, views) };
-        actions.push(Action::Send { to: record.peer, body });
+        let views = (self.seq + 1).is_multiple_of(self.options.view_every);
+        actions.push(self.probe_at(now, record.peer, views));
         let vm = record.vm;
         self.probe = Some(Probe { seq: self.seq, vm, started: now, asked_others: false });
     }
@@ -463,9 +466,7 @@
             if self.rng.random::<f64>() >= rate / near {
                 continue;
             }
-            self.seq += 1;
-            let body = Body::Probe { seq: self.seq, gossip: self.gossip(now, true) };
-            actions.push(Action::Send { to: record.peer, body });
+            actions.push(self.probe_at(now, record.peer, true));
             // The first probe that is not answered counts, not the last.
             self.remote.entry(record.vm).or_insert(now);
         }
@@ -484,9 +485,7 @@
         let Some(to) = dead.choose(&mut self.rng).copied() else {
             return;
         };
-        self.seq += 1;
-        let body = Body::Probe { seq: self.seq, gossip: self.gossip(now, false) };
-        actions.push(Action::Send { to, body });
+        actions.push(self.probe_at(now, to, false));
     }
 
     fn dead(&self) -> impl Iterator<Item = SocketAddr> {
@@ -506,6 +505,17 @@
     fn tell(&mut self, to: SocketAddr) -> Action {
         let records = vec![self.me.clone()];
         let gossip = Gossip { tip: self.tip, records, ..Gossip::default() };
+        self.send_probe(to, gossip)
+    }
+
+    /// Probes an address with the usual facts; the number of the probe is then
+    /// in `seq`.
+    fn probe_at(&mut self, now: Duration, to: SocketAddr, views: bool) -> Action {
+        let gossip = self.gossip(now, views);
+        self.send_probe(to, gossip)
+    }
+
+    fn send_probe(&mut self, to: SocketAddr, gossip: Gossip) -> Action {
         self.seq += 1;
         Action::Send { to, body: Body::Probe { seq: self.seq, gossip } }
     }
@@ -613,10 +623,8 @@
         let Some(to) = self.table.get(target).map(|member| member.record.peer) else {
             return;
         };
-        self.seq += 1;
+        actions.push(self.probe_at(now, to, false));
         self.errands.insert(self.seq, Errand { origin, origin_seq, started: now });
-        let body = Body::Probe { seq: self.seq, gossip: self.gossip(now, false) };
-        actions.push(Action::Send { to, body });
     }
 
     fn merge(&mut self, now: Duration, record: &Record) {
--- a/crates/medlarpoint_routing/src/call.rs
+++ b/crates/medlarpoint_routing/src/call.rs
@@ -135,7 +135,6 @@
 #[derive(Clone, Debug)]
 struct Attempt {
     choice: Choice,
-    sent: Duration,
     ask_at: Duration,
     gap: Duration,
     /// The connection is gone, so no answer can come.
@@ -421,7 +420,6 @@
         self.sent += 1;
         let state = Attempt {
             choice: choice.clone(),
-            sent: now,
             ask_at: now + self.terms.suspect_after,
             gap: self.terms.suspect_after,
             cut: false,
@@ -431,11 +429,6 @@
         vec![Action::Send(attempt, choice)]
     }
 
-    /// Returns when an attempt under way was sent.
-    pub fn sent_at(&self, attempt: AttemptId) -> Option<Duration> {
-        self.attempts.get(&attempt).map(|state| state.sent)
-    }
-
     fn finish_not_run(&mut self, point: Point, retry_after: Duration) -> Vec<Action> {
         match self.doubt {
             Some(doubt) => self.finish(Final::Unknown(doubt)),
