--- a/crates/medlarpoint_bench/src/demo.rs
+++ b/crates/medlarpoint_bench/src/demo.rs
@@ -43,11 +43,8 @@
 
 /// Runs the demo and returns its promises.
 pub async fn run() -> Result<Vec<Promise>, Failure> {
-    let mut demo = Demo {
-        fleet: Fleet::start("stockholm", 1).await?,
-        promises: Vec::new(),
-        start: Instant::now(),
-    };
+    let mut demo =
+        Demo { fleet: Fleet::start(1).await?, promises: Vec::new(), start: Instant::now() };
     demo.say("store up; starting daemons and targets of both deployments");
     demo.populate().await?;
     demo.declare().await?;
--- a/crates/medlarpoint_bench/src/experiment/convergence.rs
+++ b/crates/medlarpoint_bench/src/experiment/convergence.rs
@@ -129,13 +129,10 @@
 fn route(number: usize, deadline_ms: u64) -> Result<Resource, Failure> {
     let path_prefix = Some(format!("/r{number}"));
     Ok(Resource::Route(Route {
-        name: name("route", number)?,
-        service: name("service", number % SERVICES)?,
         matcher: Matcher { path_prefix, ..Matcher::default() },
-        class: medlarpoint_model::Class::Short,
         repeatable: true,
-        once: medlarpoint_model::Once::Store,
         deadline_ms,
+        ..Route::new(name("route", number)?, name("service", number % SERVICES)?)
     }))
 }
 
@@ -185,7 +182,7 @@
             processes.nodes[0].seen().api.ok_or_else(|| Failure::Node("no API".to_owned()))?
         }
         Role::Baseline => {
-            let mut fleet = crate::Fleet::start("north", flags.seed).await?;
+            let mut fleet = crate::Fleet::start(flags.seed).await?;
             fleet.use_store(processes.store.address());
             fleet.add(crate::processes::site(0), None).await?;
             fleet.wait_ready().await?;
@@ -347,6 +344,7 @@
 /// Returns the size of an ordinary change, as a peer sends it.
 fn delta_bytes() -> Result<usize, Failure> {
     let delta = Delta {
+        base: Version(999),
         version: Version(1_000),
         base_digest: Digest::default(),
         digest: Digest::default(),
--- a/crates/medlarpoint_bench/src/experiment/faults.rs
+++ b/crates/medlarpoint_bench/src/experiment/faults.rs
@@ -65,7 +65,7 @@
 async fn populate(flags: &Flags) -> Result<Fleet, Failure> {
     let setting = &flags.setting;
     let places = setting.preset.places();
-    let mut fleet = Fleet::start(places[0].0, setting.seed).await?;
+    let mut fleet = Fleet::start(setting.seed).await?;
     let places: Vec<(&str, &str)> =
         places.iter().flat_map(|(region, dcs)| dcs.iter().map(|dc| (*region, *dc))).collect();
     for index in 0..3 {
--- a/crates/medlarpoint_bench/src/experiment/setting.rs
+++ b/crates/medlarpoint_bench/src/experiment/setting.rs
@@ -77,7 +77,7 @@
     /// in force, and a further daemon without a target for the callers.
     pub async fn fleet(&self, service: Service, extra: &str) -> Result<Fleet, Failure> {
         let (region, places) = self.preset.places()[0];
-        let mut fleet = Fleet::start(region, self.seed).await?;
+        let mut fleet = Fleet::start(self.seed).await?;
         fleet.set_extra(extra);
         let site =
             |vm: String| Site { vm, data_centre: places[0].to_owned(), region: region.to_owned() };
--- a/crates/medlarpoint_bench/src/fleet.rs
+++ b/crates/medlarpoint_bench/src/fleet.rs
@@ -84,7 +84,6 @@
     seeds: Vec<SocketAddr>,
     /// A store of another experiment, used in place of the own one.
     foreign_store: Option<SocketAddr>,
-    store_region: String,
     extra: String,
 }
 
@@ -96,7 +95,7 @@
 }
 
 /// Writes settings for a daemon of an experiment.
-pub fn settings(site: &Site, store: SocketAddr, store_region: &str, extra: &str) -> String {
+pub fn settings(site: &Site, store: SocketAddr, extra: &str) -> String {
     let Site { vm, data_centre, region } = site;
     format!(
         r#"fleet = "bench"
@@ -111,7 +110,6 @@
 api = "127.0.0.1:0"
 [store]
 endpoints = ["{store}"]
-region = "{store_region}"
 [log]
 format = "off"
 "#
@@ -120,7 +118,7 @@
 
 impl Fleet {
     /// Starts a store and no member.
-    pub async fn start(store_region: &str, seed: u64) -> Result<Self, Failure> {
+    pub async fn start(seed: u64) -> Result<Self, Failure> {
         let store = StoreServer::start(ANY, seed).await?;
         Ok(Self {
             store,
@@ -128,7 +126,6 @@
             ledger: Ledger::default(),
             seeds: Vec::new(),
             foreign_store: None,
-            store_region: store_region.to_owned(),
             extra: String::new(),
         })
     }
@@ -146,7 +143,7 @@
     async fn start_daemon(&self, site: &Site) -> Result<(Daemon, Host), Failure> {
         let extra = format!("seeds = {:?}\n{}", self.seeds_text(), self.extra);
         let store = self.foreign_store.unwrap_or(self.store.address());
-        let text = settings(site, store, &self.store_region, &extra);
+        let text = settings(site, store, &extra);
         let settings = Options::parse(&text)?.resolve()?;
         let log = Log::new(LogFormat::Off)?;
         let host = Host::new()?;
--- a/crates/medlarpoint_bench/src/fuzz/calls.rs
+++ b/crates/medlarpoint_bench/src/fuzz/calls.rs
@@ -344,6 +344,7 @@
         let terms = Terms {
             repeatable: *repeatable,
             keyed: key.is_some(),
+            attempts: 3,
             may_retry: true,
             deadline,
             hedge_after: hedged.then_some(Duration::from_millis(200)),
@@ -412,6 +413,7 @@
             class: if request.long { Class::Long } else { Class::Short },
             tenant: name("t"),
             weight: 1,
+            rank: 1,
             deadline: Duration::ZERO,
             key,
             once: Once::Store,
--- a/crates/medlarpoint_bench/src/fuzz/config.rs
+++ b/crates/medlarpoint_bench/src/fuzz/config.rs
@@ -13,7 +13,7 @@
     Change, CommitId, Key, Kind, Matcher, Name, Policy, Resource, Route, Service, Snapshot,
     Version, Vm, validate,
 };
-use medlarpoint_store::{Error, Expected, Item, Key as StoreKey, Refusal, Table};
+use medlarpoint_store::{Error, Expected, Item, Key as StoreKey, Table};
 use medlarpoint_wire::{Pull, Update};
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
@@ -259,13 +259,9 @@
         Op::PutRoute(r, s) => {
             let path_prefix = Some(format!("/{r}"));
             Change::Put(Resource::Route(Route {
-                name: name("r", *r),
-                service: name("s", *s),
                 matcher: Matcher { path_prefix, ..Matcher::default() },
-                class: medlarpoint_model::Class::Short,
-                repeatable: false,
-                once: medlarpoint_model::Once::Store,
                 deadline_ms: 1_000,
+                ..Route::new(name("r", *r), name("s", *s))
             }))
         }
         Op::PutPolicy(p, share) => {
@@ -343,12 +339,11 @@
 
     /// Makes a store call, as its fate has it.
     fn call<P: ConfigPlant>(&mut self, action: &Action, fate: Fate) -> Reply {
-        let now = self.now_ms();
         let lost = || Error::Unknown("lost".to_owned());
         let down = || Error::Unavailable("down".to_owned());
         match action {
             Action::Get(key) => Reply::Got(match fate {
-                Fate::Normal => Ok(self.table.get(key, now)),
+                Fate::Normal => Ok(self.table.get(key)),
                 Fate::Down => Err(down()),
                 Fate::LostBefore | Fate::LostAfter | Fate::Delayed => Err(lost()),
             }),
@@ -374,23 +369,19 @@
         expected: Expected,
         value: bytes::Bytes,
     ) -> Result<medlarpoint_store::Revision, Error> {
-        let now = self.now_ms();
-        let current = self.table.get(key, now).map(|item| item.revision);
+        let current = self.table.get(key).map(|item| item.revision);
         let expected = match (P::IGNORE_CONDITION, current) {
             (true, Some(revision)) => Expected::Revision(revision),
             (true, None) => Expected::Absent,
             (false, _) => expected,
         };
-        let result = self.table.swap(key, expected, value, None, now);
+        let result = self.table.swap(key, expected, value, None);
         self.observe();
-        result.map_err(|refusal| match refusal {
-            Refusal::Conflict(current) => Error::Conflict { current },
-            Refusal::TooLarge => Error::TooLarge { bytes: 0, limit: 0 },
-        })
+        result.map_err(Error::from)
     }
 
     fn observe(&mut self) {
-        if let Some(item) = self.table.get(&head_key(), self.now_ms()) {
+        if let Some(item) = self.table.get(&head_key()) {
             let head = Head::decode(&item.value).expect("the head can be read");
             self.oracle.observe(&head);
         }
@@ -419,9 +410,9 @@
                 let known = self.oracle.commits.contains(&id);
                 assert!(known, "a commit was reported that never took effect");
                 for key in garbage {
-                    if let Some(item) = self.table.get(&key, self.now_ms()) {
+                    if let Some(item) = self.table.get(&key) {
                         let expected = Expected::Revision(item.revision);
-                        let _ = self.table.delete(&key, expected, self.now_ms());
+                        let _ = self.table.delete(&key, expected);
                     }
                 }
                 let update = Update::Chain(vec![delta]);
@@ -451,7 +442,7 @@
         if offer.is_none() {
             let key = checkpoint_key(head.checkpoint);
             // A checkpoint that is gone means that there is a newer head.
-            if let Some(item) = self.table.get(&key, self.now.as_millis() as u64) {
+            if let Some(item) = self.table.get(&key) {
                 let base: Snapshot = rmp_serde::from_slice(&item.value).expect("a checkpoint");
                 let _ = replica.offer_replay(&head, &base);
             }
@@ -543,7 +534,7 @@
             highest: Version::ZERO,
         };
         // Catching up before serving: a peer's version, or the store's.
-        self.read(node, self.table.get(&head_key(), self.now_ms()));
+        self.read(node, self.table.get(&head_key()));
     }
 
     /// An old backup is put back, and a reader with the newest version sees it
@@ -563,7 +554,7 @@
             let reply = self.call::<P>(&next, Fate::Normal);
             action = restore.step(reply);
         }
-        let item = self.table.get(&head_key(), self.now_ms());
+        let item = self.table.get(&head_key());
         let head = item.map(|item| Head::decode(&item.value).expect("the head can be read"));
         let version = head.map(|head| head.version).unwrap_or_default();
         assert_eq!(version, newest, "an accepted version reverted with the store");
@@ -578,7 +569,7 @@
             while !self.running.is_empty() {
                 self.advance::<P>(0, Fate::Normal);
             }
-            self.read(0, self.table.get(&head_key(), self.now_ms()));
+            self.read(0, self.table.get(&head_key()));
             for node in 1..NODES {
                 self.announce(node - 1, node);
             }
@@ -610,7 +601,7 @@
     let Update::Chain(deltas) = &update else {
         return update;
     };
-    let Some(delta) = deltas.iter().find(|delta| delta.version == base.version.next()) else {
+    let Some(delta) = deltas.iter().find(|delta| delta.base == base.version) else {
         return update;
     };
     let half = delta.changes.len() / 2;
@@ -673,7 +664,7 @@
             }
             Transition::Burst { node, count } => {
                 for step in 0..count {
-                    world.read(node, world.table.get(&head_key(), world.now_ms()));
+                    world.read(node, world.table.get(&head_key()));
                     world.propose(node, &[Op::PutPolicy(1, step + 1)], false);
                     while !world.running.is_empty() {
                         world.advance::<P>(0, Fate::Normal);
@@ -687,10 +678,10 @@
                 }
             }
             Transition::Read { node } => {
-                world.read(node, world.table.get(&head_key(), world.now_ms()));
+                world.read(node, world.table.get(&head_key()));
             }
             Transition::Capture { node } => {
-                world.nodes[node].captured = world.table.get(&head_key(), world.now_ms());
+                world.nodes[node].captured = world.table.get(&head_key());
             }
             Transition::Resume { node } => {
                 let captured = world.nodes[node].captured.take();
--- a/crates/medlarpoint_bench/src/fuzz/members.rs
+++ b/crates/medlarpoint_bench/src/fuzz/members.rs
@@ -167,6 +167,7 @@
         incarnation: Detector::first_incarnation(Boot(boot)),
         status: Status::Alive,
         target: None,
+        store: None,
     }
 }
 
--- a/crates/medlarpoint_bench/src/node.rs
+++ b/crates/medlarpoint_bench/src/node.rs
@@ -8,7 +8,8 @@
 use medlarpoint_config::{Head, head_key};
 use medlarpoint_daemon::{Daemon, Log, Settings};
 use medlarpoint_model::Version;
-use medlarpoint_store::{Client, Endpoint, Revision, Store};
+use medlarpoint_platform::store::{Client, Endpoint};
+use medlarpoint_store::Store;
 use serde::{Deserialize, Serialize};
 
 use crate::Failure;
@@ -89,14 +90,21 @@
         peer: SocketAddr::from(([0; 4], 0)),
     })?;
     print(&Line::Ready { at_us: wall_us() })?;
-    let mut after = Revision::default();
+    let mut after = None;
     loop {
-        let Ok(Some(item)) = store.watch(&head_key(), after, WATCH_WAIT).await else {
+        let Some(revision) = after else {
+            after = store.list(&head_key()).await.ok().map(|listing| listing.current);
             continue;
         };
-        after = item.revision;
-        if let Ok(head) = Head::decode(&item.value) {
-            print(&Line::Applied { version: head.version, at_us: wall_us() })?;
+        let Ok(changes) = store.watch(&head_key(), revision, WATCH_WAIT).await else {
+            after = None;
+            continue;
+        };
+        after = Some(changes.current);
+        for item in changes.changes.into_iter().filter_map(|change| change.item) {
+            if let Ok(head) = Head::decode(&item.value) {
+                print(&Line::Applied { version: head.version, at_us: wall_us() })?;
+            }
         }
     }
 }
--- a/crates/medlarpoint_bench/src/processes.rs
+++ b/crates/medlarpoint_bench/src/processes.rs
@@ -104,7 +104,7 @@
         let mut command = Command::new(std::env::current_exe()?);
         match self.role {
             Role::Daemon => {
-                let text = settings(&site, self.store.address(), REGIONS[0], "workers = 1");
+                let text = settings(&site, self.store.address(), "workers = 1");
                 let path = self.directory.path().join(format!("{}.toml", site.vm));
                 std::fs::write(&path, text)?;
                 command.args(["node", "--settings"]).arg(path);
--- a/crates/medlarpoint_bench/tests/path.rs
+++ b/crates/medlarpoint_bench/tests/path.rs
@@ -9,7 +9,7 @@
 use medlarpoint_standin::{Faults, Http};
 
 async fn fleet() -> Fleet {
-    let mut fleet = Fleet::start("stockholm", 1).await.unwrap();
+    let mut fleet = Fleet::start(1).await.unwrap();
     for (index, place) in ["stockholm-1", "stockholm-2", "gothenburg-1"].iter().enumerate() {
         let region = place.split('-').next().unwrap().to_owned();
         let site = Site { vm: format!("vm-{index}"), data_centre: (*place).to_owned(), region };
--- a/crates/medlarpoint_config/src/commit.rs
+++ b/crates/medlarpoint_config/src/commit.rs
@@ -301,6 +301,7 @@
             return self.refuse(Refusal::TooLarge { bytes, limit: MAX_STATE_BYTES });
         }
         let delta = Arc::new(Delta {
+            base: base.version,
             version: next.version,
             base_digest: base.digest,
             digest: next.digest,
--- a/crates/medlarpoint_config/src/head.rs
+++ b/crates/medlarpoint_config/src/head.rs
@@ -106,7 +106,7 @@
         if base.version == self.version {
             return base.digest == self.digest;
         }
-        let next = self.deltas.iter().find(|delta| delta.version == base.version.next());
+        let next = self.deltas.iter().find(|delta| delta.base == base.version);
         next.is_some_and(|delta| delta.base_digest == base.digest)
     }
 
--- a/crates/medlarpoint_config/src/replica.rs
+++ b/crates/medlarpoint_config/src/replica.rs
@@ -3,10 +3,10 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use medlarpoint_model::{Delta, Digest, Mismatch, Snapshot, Version};
+use medlarpoint_model::{CommitId, Delta, Digest, Mismatch, Snapshot, Version};
 use medlarpoint_wire::{Pull, Tip, Update};
 
-use crate::Head;
+use crate::{Head, Published};
 
 /// Deltas kept to answer peers.
 const MAX_RECENT: usize = 128;
@@ -86,7 +86,7 @@
             return Update::Nothing;
         }
         let first = self.recent.iter().position(|delta| {
-            delta.version == pull.have.version.next() && delta.base_digest == pull.have.digest
+            delta.base == pull.have.version && delta.base_digest == pull.have.digest
         });
         match first {
             Some(first) => Update::Chain(self.recent.iter().skip(first).cloned().collect()),
@@ -133,6 +133,43 @@
         Ok(Offer::Applied(head.deltas.clone()))
     }
 
+    /// Applies a whole version that an outside owner of the configuration
+    /// published. The changes against the version in force become a delta, so
+    /// that peers need not fetch the whole.
+    pub fn offer_published(&mut self, published: Published) -> Result<Offer, Rejection> {
+        let base = Arc::clone(&self.current);
+        if published.version <= base.version {
+            return Ok(Offer::Nothing);
+        }
+        let changes = published.changes(&base);
+        let next = base.edit_as(published.version, &changes);
+        let next = next.verify()?;
+        let delta = Arc::new(Delta {
+            base: base.version,
+            version: next.version,
+            base_digest: base.digest,
+            digest: next.digest,
+            commit: CommitId(published.version.0.into()),
+            author: published.author,
+            at_ms: published.at_ms,
+            changes,
+        });
+        self.current = Arc::new(next);
+        if base.version == Version::ZERO {
+            // The first version is as large as a checkpoint; peers get that.
+            self.recent.clear();
+            return Ok(Offer::Applied(Vec::new()));
+        }
+        self.recent.push_back(Arc::clone(&delta));
+        self.trim();
+        Ok(Offer::Applied(vec![delta]))
+    }
+
+    fn trim(&mut self) {
+        let excess = self.recent.len().saturating_sub(MAX_RECENT);
+        self.recent.drain(..excess);
+    }
+
     fn offer_chain(&mut self, deltas: &[Arc<Delta>]) -> Result<Offer, Rejection> {
         let base = self.current.version;
         let newer: Vec<Arc<Delta>> =
@@ -146,8 +183,7 @@
         }
         self.current = Arc::new(next);
         self.recent.extend(newer.iter().cloned());
-        let excess = self.recent.len().saturating_sub(MAX_RECENT);
-        self.recent.drain(..excess);
+        self.trim();
         Ok(Offer::Applied(newer))
     }
 
--- a/crates/medlarpoint_config/src/restore.rs
+++ b/crates/medlarpoint_config/src/restore.rs
@@ -81,7 +81,7 @@
     /// Returns the stored head with the missing deltas, if they are at hand.
     fn extended(&self) -> Option<Head> {
         let follows = |delta: &Arc<Delta>| {
-            delta.version == self.head.version.next() && delta.base_digest == self.head.digest
+            delta.base == self.head.version && delta.base_digest == self.head.digest
         };
         let first = self.recent.iter().position(follows)?;
         let missing = self.recent.iter().skip(first);
--- a/crates/medlarpoint_config/src/restore/tests.rs
+++ b/crates/medlarpoint_config/src/restore/tests.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use medlarpoint_model::{Change, CommitId, Policy, Resource, Version};
-use medlarpoint_store::{Error, Refusal, Table};
+use medlarpoint_store::{Error, Table};
 
 use super::Restore;
 use crate::{
@@ -25,13 +25,10 @@
 
 fn call(table: &mut Table, action: &Action) -> Reply {
     match action {
-        Action::Get(key) => Reply::Got(Ok(table.get(key, 0))),
+        Action::Get(key) => Reply::Got(Ok(table.get(key))),
         Action::Swap { key, expected, value } => {
-            let result = table.swap(key, *expected, value.clone(), None, 0);
-            Reply::Swapped(result.map_err(|refusal| match refusal {
-                Refusal::Conflict(current) => Error::Conflict { current },
-                Refusal::TooLarge => Error::TooLarge { bytes: 0, limit: 0 },
-            }))
+            let result = table.swap(key, *expected, value.clone(), None);
+            Reply::Swapped(result.map_err(Error::from))
         }
         Action::Done(_) => panic!("the attempt is over"),
     }
@@ -58,7 +55,7 @@
 }
 
 fn read(table: &Table, replica: &mut Replica) {
-    let item = table.get(&head_key(), 0).unwrap();
+    let item = table.get(&head_key()).unwrap();
     replica.offer_head(&Head::decode(&item.value).unwrap()).unwrap();
 }
 
--- a/crates/medlarpoint_daemon/src/body.rs
+++ b/crates/medlarpoint_daemon/src/body.rs
@@ -3,8 +3,9 @@
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body::{Body as HttpBody, Frame, SizeHint};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 use crate::inbound::Job;
@@ -42,6 +43,8 @@
     Whole(Option<Bytes>),
     /// Bytes that pass through.
     Passing {
+        /// Those that were read ahead.
+        head: Option<Bytes>,
         /// Where they come from.
         incoming: Incoming,
         /// Limits on a caller's body.
@@ -76,12 +79,44 @@
             finish.complete();
             return Self::empty();
         }
-        Self::Passing { incoming, pace: None, finish: Some(finish) }
+        Self::Passing { head: None, incoming, pace: None, finish: Some(finish) }
     }
 
     pub(crate) fn paced(incoming: Incoming, pace: Pace) -> Self {
-        Self::Passing { incoming, pace: Some(pace), finish: None }
+        Self::Passing { head: None, incoming, pace: Some(pace), finish: None }
     }
+
+    /// Passes on what was read ahead, and then the rest.
+    pub(crate) fn resumed(read: Bytes, incoming: Incoming, finish: Finish) -> Self {
+        let head = (!read.is_empty()).then_some(read);
+        Self::Passing { head, incoming, pace: None, finish: Some(finish) }
+    }
+}
+
+/// A body read ahead.
+pub(crate) enum Gathered {
+    /// It is whole.
+    Whole(Bytes),
+    /// It is larger than wanted: its beginning and the rest.
+    Large(Bytes, Incoming),
+}
+
+/// Reads a body ahead, up to `limit` bytes and a frame.
+pub(crate) async fn gather(mut incoming: Incoming, limit: usize) -> Result<Gathered, hyper::Error> {
+    let mut read = BytesMut::new();
+    while let Some(frame) = incoming.frame().await {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        if read.is_empty() && incoming.is_end_stream() {
+            return Ok(Gathered::Whole(data));
+        }
+        read.extend_from_slice(&data);
+        if read.len() > limit {
+            return Ok(Gathered::Large(read.freeze(), incoming));
+        }
+    }
+    Ok(Gathered::Whole(read.freeze()))
 }
 
 impl HttpBody for Body {
@@ -94,7 +129,10 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match &mut *self {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            Self::Passing { incoming, pace, finish } => {
+            Self::Passing { head, incoming, pace, finish } => {
+                if let Some(read) = head.take() {
+                    return Poll::Ready(Some(Ok(Frame::data(read))));
+                }
                 if let Some(pace) = pace
                     && incoming.is_end_stream()
                 {
@@ -131,7 +169,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(bytes) => bytes.is_none(),
-            Self::Passing { incoming, .. } => incoming.is_end_stream(),
+            Self::Passing { head, incoming, .. } => head.is_none() && incoming.is_end_stream(),
         }
     }
 
@@ -140,7 +178,16 @@
             Self::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
             }
-            Self::Passing { incoming, .. } => incoming.size_hint(),
+            Self::Passing { head, incoming, .. } => {
+                let read = head.as_ref().map_or(0, |read| read.len() as u64);
+                let rest = incoming.size_hint();
+                let mut hint = SizeHint::new();
+                hint.set_lower(rest.lower() + read);
+                if let Some(upper) = rest.upper() {
+                    hint.set_upper(upper + read);
+                }
+                hint
+            }
         }
     }
 }
--- a/crates/medlarpoint_daemon/src/control.rs
+++ b/crates/medlarpoint_daemon/src/control.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use medlarpoint_config::{Distance, Offer, Order, Rejection};
-use medlarpoint_membership::{Action, Event as MemberEvent, Role, rank, ranked};
+use medlarpoint_membership::{Action, Event as MemberEvent, Role, rank, ranked, readers, wave};
 use medlarpoint_model::{DataCentre, Delta, Region, Vm};
 use medlarpoint_wire::{Body, Frame, Gossip, PROTOCOL, Record, Tip, Update, encode};
 use rand::seq::IndexedRandom;
@@ -178,14 +178,19 @@
 
     /// Gives the inbound proxy the policy of its target's service.
     pub(crate) fn refresh_policy(&self) {
-        let service = lock(&self.shared.target).as_ref().map(|target| target.service.clone());
-        let Some(service) = service else {
+        let target = lock(&self.shared.target);
+        let target = target.as_ref().map(|t| (t.service.clone(), t.occupant.is_some()));
+        let Some((service, reports)) = target else {
             return;
         };
         let in_force = self.shared.in_force.load();
         let policy = in_force.snapshot.service(&service).and_then(|s| s.policy.as_ref());
         let policy = policy.and_then(|name| in_force.snapshot.policy(name));
-        let policy = policy.cloned().unwrap_or_default();
+        let mut policy = policy.cloned().unwrap_or_default();
+        if reports {
+            // It says itself how long it is cold, and callers see its latency.
+            policy.ramp_ms = 0;
+        }
         lock(&self.shared.intake).gate_mut().set_policy(policy);
     }
 
@@ -217,6 +222,32 @@
         }
     }
 
+    /// Notes that this daemon has read the store, and tells all members.
+    pub(crate) fn store_read(&self) {
+        let mut control = lock(&self.shared.control);
+        let now = self.shared.now();
+        control.freshness.confirmed(now, Duration::ZERO);
+        let me = control.detector.me().vm.clone();
+        if readers(control.detector.table().live(), ROLE_HOLDERS).contains(&&me) {
+            self.pass_on(&control, &me, 0);
+        }
+    }
+
+    /// Passes on to this daemon's part of the members that the store was read.
+    fn pass_on(&self, control: &Control, origin: &Vm, age_ms: u64) {
+        let tip = control.replica.tip();
+        let table = control.detector.table();
+        let me = &control.detector.me().vm;
+        let members = table.live().map(|record| &record.vm);
+        let next: Vec<SocketAddr> = wave::next(origin, me, members)
+            .into_iter()
+            .filter_map(|vm| table.get(vm).map(|member| member.record.peer))
+            .collect();
+        for to in next {
+            self.send(control, to, Body::Fresh { origin: origin.clone(), tip, age_ms });
+        }
+    }
+
     /// Returns this daemon's place among those that fetch for others.
     fn order(control: &Control, role: Role) -> Order {
         let me = control.detector.me();
@@ -256,6 +287,14 @@
                     self.send(&control, from, Body::Receipt { version: *version });
                     self.summarize(&mut control);
                 }
+                Body::Fresh { origin, tip, age_ms } => {
+                    let age = Duration::from_millis(*age_ms);
+                    let gossip = Gossip { tip: *tip, ..Gossip::default() };
+                    self.heard(&mut control, &frame.from, &gossip);
+                    if control.freshness.confirmed(now, age) {
+                        self.pass_on(&control, origin, *age_ms);
+                    }
+                }
                 Body::Receipt { version } => control.reporter.confirmed(&frame.from, *version),
                 Body::Indirect { .. } => {}
             }
--- a/crates/medlarpoint_daemon/src/daemon.rs
+++ b/crates/medlarpoint_daemon/src/daemon.rs
@@ -11,10 +11,10 @@
 use dropshot::{ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder};
 use indexmap::IndexMap;
 use medlarpoint_config::{History, Replica, Spreader};
-use medlarpoint_membership::{Detector, Options, Reporter};
+use medlarpoint_membership::{Detector, Freshness, Options, Reporter};
 use medlarpoint_model::{Policy, Version};
+use medlarpoint_platform::store::Client;
 use medlarpoint_routing::Intake;
-use medlarpoint_store::Client;
 use medlarpoint_wire::{Boot, Record, Status};
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::{TcpListener, UdpSocket};
@@ -27,12 +27,15 @@
 use crate::pool::Pool;
 use crate::server::{self, Listener};
 use crate::settings::Settings;
-use crate::state::{Control, InForce, Shared, lock};
+use crate::state::{Control, InForce, Live, Shared, lock};
 use crate::traffic::{Reading, Traffic};
-use crate::{api, peer, reader, startup, target, view};
+use crate::{api, local, peer, reader, registry, reload, startup, target, view};
 
-/// Time others need to learn that this daemon leaves.
-const LEAVE_TIME: Duration = Duration::from_millis(1_500);
+/// Time others need to learn that this daemon leaves: members by gossip, and
+/// callers by two questions a second apart whether it takes them.
+const LEAVE_TIME: Duration = Duration::from_millis(2_200);
+/// Time kept at the end of a planned stop for answers that are on their way.
+const LAST_ANSWERS: Duration = Duration::from_millis(1_000);
 /// Time between looks at the calls in flight during a planned stop.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 /// Largest request body of the operators' API, in bytes.
@@ -87,6 +90,16 @@
     bound.map_err(|reason| StartError::Listen { key, address, reason })
 }
 
+async fn listen_if(
+    key: &'static str,
+    address: Option<SocketAddr>,
+) -> Result<Option<TcpListener>, StartError> {
+    match address {
+        Some(address) => listen(key, address).await.map(Some),
+        None => Ok(None),
+    }
+}
+
 /// Binds the peer address for TCP and UDP, which share a port.
 async fn listen_peer(address: SocketAddr) -> Result<(TcpListener, UdpSocket), StartError> {
     let key = "listen.peer";
@@ -121,6 +134,8 @@
         let calls = listen("listen.calls", wanted.calls).await?;
         let inbound = listen("listen.inbound", wanted.inbound).await?;
         let (peer, socket) = listen_peer(wanted.peer).await?;
+        let ready = listen_if("listen.ready", wanted.ready).await?;
+        let control = listen_if("listen.control", wanted.control).await?;
         let mut addresses = Addresses {
             calls: local(&calls, wanted.calls),
             inbound: local(&inbound, wanted.inbound),
@@ -132,6 +147,12 @@
         let api = start_api(&driver, metrics, wanted.api)?;
         addresses.api = api.local_addr();
         spawn_tasks(&driver, calls, inbound, peer);
+        if let Some(ready) = ready {
+            tokio::spawn(local::serve_ready(Arc::clone(&shared), ready));
+        }
+        if let Some(control) = control {
+            tokio::spawn(local::serve_control(Arc::clone(&driver), control));
+        }
         shared.emit(&Event::Started {
             vm: shared.settings.options.vm.clone(),
             calls: addresses.calls,
@@ -174,6 +195,12 @@
         view::status(self.driver.shared())
     }
 
+    /// Takes the settings that may change while the daemon runs; tells whether
+    /// any of them did.
+    pub fn reload(&self, settings: &Settings) -> bool {
+        reload::apply(&self.driver, settings)
+    }
+
     /// Returns the control traffic sent so far.
     pub fn traffic(&self) -> Reading {
         self.driver.shared().traffic.read()
@@ -190,27 +217,25 @@
     /// is in flight end, then closes.
     pub async fn close(self) {
         let shared = Arc::clone(self.driver.shared());
-        let unfinished = unfinished(&shared);
-        shared.emit(&Event::Stopping { unfinished });
+        shared.emit(&Event::Stopping { unfinished: unfinished(&shared) });
+        shared.leaving.store(true, Ordering::Release);
         lock(&shared.intake).set_draining(true);
         self.driver.leave();
-        let deadline = tokio::time::Instant::now() + shared.settings.drain_timeout;
-        let leave_time = LEAVE_TIME.min(shared.settings.drain_timeout);
-        tokio::time::sleep(leave_time).await;
+        let start = tokio::time::Instant::now();
+        let deadline = start + shared.settings.drain_timeout;
+        // The target goes on with what it has, and makes calls for it.
+        let last_in = deadline - LAST_ANSWERS.min(shared.settings.drain_timeout);
+        let leave = start + LEAVE_TIME;
+        wait_until(last_in, || {
+            tokio::time::Instant::now() >= leave && lock(&shared.intake).unfinished() == 0
+        })
+        .await;
         shared.stopping.store(true, Ordering::Release);
         shared.changed();
-        loop {
-            // An answer may still be on its way out when its call has ended.
-            let open = shared.connections.load(Ordering::Acquire);
-            let left = crate::daemon::unfinished(&shared);
-            if left == 0 && open == 0 {
-                break;
-            }
-            if tokio::time::Instant::now() >= deadline {
-                shared.emit(&Event::DrainTimeout { unfinished: left });
-                break;
-            }
-            tokio::time::sleep(DRAIN_CHECK).await;
+        // An answer may still be on its way out when its call has ended.
+        let done = || shared.connections.load(Ordering::Acquire) == 0 && unfinished(&shared) == 0;
+        if !wait_until(deadline, done).await {
+            shared.emit(&Event::DrainTimeout { unfinished: unfinished(&shared) });
         }
         self.stop(&shared).await;
         shared.emit(&Event::Stopped {});
@@ -230,6 +255,19 @@
     }
 }
 
+/// Waits until `done` holds or `deadline` has come; tells whether it holds.
+async fn wait_until(deadline: tokio::time::Instant, done: impl Fn() -> bool) -> bool {
+    loop {
+        if done() {
+            return true;
+        }
+        if tokio::time::Instant::now() >= deadline {
+            return false;
+        }
+        tokio::time::sleep(DRAIN_CHECK).await;
+    }
+}
+
 /// Returns the calls in flight on either side.
 fn unfinished(shared: &Shared) -> usize {
     let outbound = shared.outbound_calls.load(Ordering::Acquire) as usize;
@@ -250,6 +288,7 @@
         incarnation: Detector::first_incarnation(Boot(boot)),
         status: Status::Alive,
         target: None,
+        store: None,
     };
     let membership = Options {
         period: Duration::from_millis(options.membership.period_ms),
@@ -268,6 +307,7 @@
         reporter: Reporter::default(),
         history: History::default(),
         reporter_since: None,
+        freshness: Freshness::default(),
         applied_ms: 0,
         last_rejection: None,
         waiting: Some("catching up".to_owned()),
@@ -275,6 +315,7 @@
     };
     Shared {
         store: Client::new(&settings.endpoints, settings.store_timeout),
+        live: ArcSwap::from_pointee(Live::of(&settings)),
         settings,
         clock,
         boot,
@@ -286,8 +327,10 @@
         intake: Mutex::new(intake),
         waiters: Mutex::default(),
         target: Mutex::new(None),
+        claim_lease: tokio::sync::Mutex::default(),
         pool: Arc::new(Pool::default()),
         ready: AtomicBool::new(false),
+        leaving: AtomicBool::new(false),
         stopping: AtomicBool::new(false),
         outbound_calls: AtomicU64::new(0),
         connections: AtomicU64::new(0),
@@ -324,8 +367,8 @@
     tokio::spawn(peer::serve(Arc::clone(shared), peer));
     tokio::spawn(server::serve(Arc::clone(shared), calls, Listener::Calls));
     tokio::spawn(server::serve(Arc::clone(shared), inbound, Listener::Inbound));
-    tokio::spawn(reader::watch_head(Arc::clone(driver)));
-    tokio::spawn(reader::keep_contacts(Arc::clone(shared)));
+    tokio::spawn(reader::follow(Arc::clone(driver)));
+    tokio::spawn(registry::keep(Arc::clone(driver)));
     tokio::spawn(startup::catch_up(Arc::clone(driver)));
     tokio::spawn(target::look_after(Arc::clone(driver)));
 }
--- a/crates/medlarpoint_daemon/src/event.rs
+++ b/crates/medlarpoint_daemon/src/event.rs
@@ -98,6 +98,10 @@
     1006 Warn Waiting { reason: String } => "not serving yet: {reason}";
     /// The process did not run for a while. Its own doubts go before doubts of others.
     1007 Warn Paused { ms: u128 } => "the process was paused for {ms} ms";
+    /// The settings file was read again. Only `service` and `bounds` take effect without a start.
+    1008 Info Reloaded { changed: bool } => "settings read again, changed: {changed}";
+    /// The settings file changed but has a fault; the settings in use stay.
+    1009 Error ReloadFailed { reason: String } => "settings not taken: {reason}";
 
     /// A newer version is in force on this daemon.
     2001 Info Applied { version: Version, from: String } => "{version} in force, from {from}";
@@ -118,6 +122,9 @@
     /// A peer that announced a version could not be asked for it. Another one is tried.
     2009 Warn PullFailed { vm: Vm, reason: String } => "cannot fetch configuration from {vm}: {reason}";
 
+    /// The configuration in the store cannot be read; the version in force stays.
+    2010 Error Unreadable { reason: String } => "the configuration in the store is not usable: {reason}";
+
     /// The liveness of a member changed.
     3001 Info Member { vm: Vm, status: Status } => "{vm} is {status}";
     /// A datagram was refused: malformed, of another fleet, or of a protocol version that is not supported.
@@ -130,6 +137,11 @@
     /// The store answers again.
     4002 Info StoreUp {} => "the store is available again";
 
+    /// The store no longer has this daemon's entry; it is made anew.
+    4003 Warn EntryLapsed {} => "the store has lost the entry of this daemon";
+    /// An entry of another daemon in the store cannot be read and is left out.
+    4004 Warn BadEntry { key: String, reason: String } => "the entry {key} is not usable: {reason}";
+
     /// A target announced itself to its daemon.
     5001 Info TargetAnnounced { service: Name, slots: u32 } => "target of {service} with {slots} slots";
     /// The target takes no new work.
@@ -138,6 +150,17 @@
     5003 Warn TargetDown { address: SocketAddr } => "target {address} refuses connections";
     /// The target accepts connections again.
     5004 Info TargetUp { address: SocketAddr } => "target {address} accepts connections";
+    /// The target of this VM is another process than before.
+    5006 Info TargetReplaced { service: Name, instance: String, slots: u32 } => "process {instance} of {service} with {slots} slots is the target";
+    /// A report names no target, or not the one of this VM; it is left out.
+    5007 Warn BadReport { instance: String, reason: String } => "refused the report of {instance}: {reason}";
+    /// A report was overtaken by a newer one.
+    5008 Info LateReport { instance: String, seq: u64 } => "report {seq} of {instance} came late";
+    /// The target leaves: it takes no new work from the acknowledgement of this report on.
+    5009 Info TargetLeaving { instance: String } => "process {instance} leaves";
+    /// Nothing was heard of the target for a while, so it is taken out until its next report.
+    5010 Warn TargetSilent { instance: String, ms: u128 } => "nothing heard of {instance} for {ms} ms";
+
     /// The connection limit of a listener is reached; new connections are closed at once.
     5005 Warn ConnectionLimit { listener: String, limit: usize } => "{listener} has {limit} connections";
 
--- a/crates/medlarpoint_daemon/src/exchange.rs
+++ b/crates/medlarpoint_daemon/src/exchange.rs
@@ -1,13 +1,14 @@
 //! One call on its way: its attempts, their answers, and what the caller is told.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, request};
-use hyper::body::Incoming;
 use medlarpoint_model::{Class, Vm};
+use medlarpoint_platform::call;
 use medlarpoint_routing::{
     AttemptId, Call, CallAction, CallEvent, Choice, Claim, Final, IdempotencyKey, Known, Load,
     Outcome, Pick, Plan, Point, Terms, Verdict,
@@ -15,11 +16,14 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::AbortHandle;
 
-use crate::body::{Body, Finish};
-use crate::pool::{ExchangeError, Lease};
+use crate::body::{Body, Finish, Gathered, gather};
+use crate::pool::{ExchangeError, Pool};
 use crate::state::{ServiceState, Shared, lock};
 use crate::{header, inbound};
 
+/// Largest answer read whole before any of it goes to the caller, in bytes.
+/// What breaks off before can still be had from another target.
+const MAX_WHOLE_BYTES: usize = 1 << 20;
 /// Longest time a question about an attempt may take.
 const QUERY_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -40,8 +44,7 @@
 /// An answer that has begun to arrive.
 struct Arrived {
     attempt: AttemptId,
-    response: Response<Incoming>,
-    lease: Lease,
+    response: Response<Body>,
 }
 
 /// Chooses targets for one call.
@@ -90,6 +93,8 @@
     receiver: UnboundedReceiver<News>,
     running: HashMap<AttemptId, Running>,
     arrived: HashMap<AttemptId, Arrived>,
+    /// The caller takes fractions of a second as advice on when to return.
+    fractional: bool,
 }
 
 /// An attempt whose answer has not come.
@@ -134,9 +139,15 @@
             receiver,
             running,
             arrived,
+            fractional: false,
         }
     }
 
+    /// Notes that the caller takes fractions of a second as advice.
+    pub(crate) fn set_fractional(&mut self, fractional: bool) {
+        self.fractional = fractional;
+    }
+
     /// Sends attempts until there is something to tell the caller.
     pub(crate) async fn run(mut self) -> Response<Body> {
         let now = self.shared.now();
@@ -191,10 +202,15 @@
         lock(&self.service.picker).sent(now, &choice.vm, attempt, class);
         let request = self.request(attempt, &choice, body);
         let repeatable = self.terms.repeatable;
-        let (pool, sender) = (Arc::clone(&self.shared.pool), self.sender.clone());
+        let (shared, sender) = (Arc::clone(&self.shared), self.sender.clone());
         let address = choice.address;
+        let own = choice.vm == shared.settings.options.vm;
         let task = tokio::spawn(async move {
-            let exchanged = pool.exchange(address, request, repeatable).await;
+            let exchanged = if own {
+                Ok(inbound::serve_attempt(shared, request).await)
+            } else {
+                exchange(&shared.pool, address, request, repeatable).await
+            };
             // Nobody listens once the call is over.
             let _ = sender.send(news(attempt, exchanged));
         });
@@ -220,6 +236,7 @@
         header::set(headers, header::BOOT, &choice.boot.to_string());
         header::set(headers, header::ROUTE, self.plan.route.name.as_str());
         header::set(headers, header::DEADLINE_MS, &left.as_millis().to_string());
+        header::set(headers, header::RANK, &self.plan.route.priority.to_string());
         let retry = if self.terms.repeatable { inbound::REPEATABLE } else { "no" };
         header::set(headers, header::RETRY, retry);
         request
@@ -303,6 +320,7 @@
                 };
                 lock(hedge).observe(now, took);
             }
+            CallEvent::Answered(_, Verdict::Failure) => picker.answered(now, vm, attempt, load),
             CallEvent::Answered(..) => picker.refused(now, vm, attempt, load),
             _ => picker.failed(now, vm, attempt),
         }
@@ -311,23 +329,45 @@
     /// Answers the caller.
     fn conclude(mut self, outcome: Final) -> Response<Body> {
         let Final::Answer(attempt) = outcome else {
-            return told(outcome);
+            return told(outcome, self.fractional);
         };
         let Some(arrived) = self.arrived.remove(&attempt) else {
-            return told(Final::Ran);
+            return told(Final::Ran, self.fractional);
         };
-        let (mut parts, incoming) = arrived.response.into_parts();
+        let (mut parts, body) = arrived.response.into_parts();
         header::strip_hop_by_hop(&mut parts.headers);
         parts.headers.remove(&header::LOAD);
-        Response::from_parts(parts, Body::passing(incoming, Finish::Connection(arrived.lease)))
+        Response::from_parts(parts, body)
     }
 }
 
-fn news(attempt: AttemptId, exchanged: Result<(Response<Incoming>, Lease), ExchangeError>) -> News {
+/// Sends an attempt to another daemon and reads its answer, whole unless it is
+/// large.
+async fn exchange(
+    pool: &Arc<Pool>,
+    address: SocketAddr,
+    request: Request<Body>,
+    repeatable: bool,
+) -> Result<Response<Body>, ExchangeError> {
+    let (response, lease) = pool.exchange(address, request, repeatable).await?;
+    let (parts, incoming) = response.into_parts();
+    let body = match gather(incoming, MAX_WHOLE_BYTES).await {
+        Ok(Gathered::Whole(body)) => {
+            lease.complete();
+            Body::whole(body)
+        }
+        Ok(Gathered::Large(read, rest)) => Body::resumed(read, rest, Finish::Connection(lease)),
+        Err(error) => return Err(ExchangeError::Broken(error)),
+    };
+    Ok(Response::from_parts(parts, body))
+}
+
+fn news(attempt: AttemptId, exchanged: Result<Response<Body>, ExchangeError>) -> News {
     match exchanged {
-        Ok((response, lease)) => {
-            let event = CallEvent::Answered(attempt, verdict(response.headers()));
-            News { event, response: Some(Arrived { attempt, response, lease }) }
+        Ok(response) => {
+            let verdict = verdict(response.status(), response.headers());
+            let event = CallEvent::Answered(attempt, verdict);
+            News { event, response: Some(Arrived { attempt, response }) }
         }
         Err(ExchangeError::Connect(_)) => {
             News { event: CallEvent::Failed(attempt, Point::Connect), response: None }
@@ -339,7 +379,7 @@
 }
 
 /// Reads what an inbound proxy says of an attempt.
-fn verdict(headers: &HeaderMap) -> Verdict {
+fn verdict(status: StatusCode, headers: &HeaderMap) -> Verdict {
     let outcome = header::parse(headers, &header::OUTCOME).unwrap_or(Outcome::Unknown);
     let point: Option<Point> = headers.get(&header::POINT).and_then(parse_point);
     match outcome {
@@ -348,6 +388,7 @@
             retry_after: header::millis(headers, &header::RETRY_AFTER_MS).unwrap_or_default(),
         },
         Outcome::Ran if point.is_some() => Verdict::Ran,
+        Outcome::Ran if status.is_server_error() => Verdict::Failure,
         Outcome::Ran => Verdict::Answer,
         Outcome::Unknown => {
             let vm = header::parse(headers, &header::CLAIM_VM);
@@ -365,7 +406,7 @@
 }
 
 /// Writes an answer that does not come from the target.
-fn told(outcome: Final) -> Response<Body> {
+fn told(outcome: Final, fractional: bool) -> Response<Body> {
     let (status, outcome, point, retry_after) = match outcome {
         Final::NotRun { point, retry_after } => {
             (StatusCode::SERVICE_UNAVAILABLE, Outcome::NotRun, point, Some(retry_after))
@@ -386,8 +427,17 @@
     header::set(headers, header::POINT, point.into());
     if let Some(after) = retry_after {
         header::set(headers, header::RETRY_AFTER_MS, &after.as_millis().to_string());
-        let seconds = after.as_millis().div_ceil(1_000).max(1).to_string();
-        header::set(headers, http::header::RETRY_AFTER, &seconds);
+        set_retry_after(headers, after, fractional);
     }
     response
 }
+
+/// Tells a caller when to come back.
+pub(crate) fn set_retry_after(headers: &mut HeaderMap, after: Duration, fractional: bool) {
+    if fractional {
+        call::set_retry_after(headers, after);
+        return;
+    }
+    let seconds = after.as_millis().div_ceil(1_000).max(1).to_string();
+    header::set(headers, http::header::RETRY_AFTER, &seconds);
+}
--- a/crates/medlarpoint_daemon/src/header.rs
+++ b/crates/medlarpoint_daemon/src/header.rs
@@ -19,6 +19,8 @@
 pub(crate) const BOOT: HeaderName = HeaderName::from_static("medlarpoint-boot");
 /// Route of the call.
 pub(crate) const ROUTE: HeaderName = HeaderName::from_static("medlarpoint-route");
+/// Rank of the call when slots are short; 0 goes first.
+pub(crate) const RANK: HeaderName = HeaderName::from_static("medlarpoint-rank");
 /// Tenant of the call; set by the caller.
 pub(crate) const TENANT: HeaderName = HeaderName::from_static("medlarpoint-tenant");
 /// Time left for the call, in milliseconds; a caller may set it.
@@ -82,6 +84,14 @@
     }
 }
 
+/// Reads how long the other end keeps an idle connection.
+pub(crate) fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let mut fields = text.split(',').filter_map(|field| field.split_once('='));
+    let (_, value) = fields.find(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"))?;
+    value.trim().parse().ok().map(Duration::from_secs)
+}
+
 /// Removes the headers of one connection.
 pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
     if let Some(connection) = headers.remove(http::header::CONNECTION) {
--- a/crates/medlarpoint_daemon/src/inbound.rs
+++ b/crates/medlarpoint_daemon/src/inbound.rs
@@ -7,27 +7,36 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use medlarpoint_model::{Class, Once, Vm};
+use medlarpoint_platform::call::{self, Answer};
 use medlarpoint_routing::{
     AttemptId, Claim, Claimed, Ended, Head, IdempotencyKey, IntakeAction, Known, Outcome, Point,
     Reply,
 };
-use medlarpoint_store::{Error, Expected, Key, Store};
+use medlarpoint_store::{Error, Expected, Key, LeaseId, Store};
 use medlarpoint_wire::Stage;
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
-use crate::body::{Body, Finish};
+use crate::body::{Body, Finish, Gathered, gather};
 use crate::header;
-use crate::pool::ExchangeError;
+use crate::pool::{ExchangeError, Lease};
 use crate::state::{Shared, lock};
 
+/// Largest answer read whole before it is passed on, in bytes. What breaks off
+/// before can still be had from another target.
+const MAX_WHOLE_BYTES: usize = 1 << 20;
+/// Rank of a call that names none.
+const DEFAULT_RANK: u8 = 1;
 /// Largest answer kept for a resent idempotency key, in bytes.
 const MAX_KEPT_BYTES: usize = 64 * 1024;
-/// Time for which the record of an idempotency key stays in the store.
-const CLAIM_LEASE: Duration = Duration::from_secs(24 * 3_600);
+/// Time to live of the leases that records of idempotency keys are bound to;
+/// the longest that the platform's store grants.
+const CLAIM_LEASE: Duration = Duration::from_secs(600);
+/// Time for which new records are bound to the same lease. A record stays in
+/// the store for the rest of the lease, which is at least half of it.
+const CLAIM_LEASE_USE: Duration = Duration::from_secs(300);
 /// Times a claim whose answer was lost is looked up.
 const CLAIM_LOOKUPS: u32 = 3;
 /// Failed connections in a row after which a target is taken out.
@@ -172,8 +181,11 @@
         return Claimed::Failed;
     };
     for _ in 0..CLAIM_LOOKUPS {
+        let Ok(lease) = claim_lease(shared).await else {
+            return Claimed::Failed;
+        };
         let value = Bytes::from(value.clone());
-        let written = shared.store.swap(&key, Expected::Absent, value, Some(CLAIM_LEASE)).await;
+        let written = shared.store.swap(&key, Expected::Absent, value, Some(lease)).await;
         match written {
             Ok(_) => return Claimed::Mine,
             // Another holds it, or an earlier try of ours got through.
@@ -183,12 +195,27 @@
                 }
             }
             Err(Error::Unknown(_)) => {}
+            Err(Error::LeaseGone) => *shared.claim_lease.lock().await = None,
             Err(_) => return Claimed::Failed,
         }
     }
     Claimed::Failed
 }
 
+/// Returns the lease that new records are bound to.
+async fn claim_lease(shared: &Shared) -> Result<LeaseId, Error> {
+    let mut lease = shared.claim_lease.lock().await;
+    let now = shared.now();
+    if let Some((id, granted)) = *lease
+        && now.saturating_sub(granted) < CLAIM_LEASE_USE
+    {
+        return Ok(id);
+    }
+    let id = shared.store.grant(CLAIM_LEASE).await?;
+    *lease = Some((id, now));
+    Ok(id)
+}
+
 fn owner(value: &[u8], attempt: &str) -> Claimed {
     match rmp_serde::from_slice::<ClaimRecord>(value) {
         Ok(record) if record.attempt == attempt => Claimed::Mine,
@@ -214,9 +241,16 @@
     if request.headers().contains_key(&header::QUERY) {
         return answer_query(&shared, request.headers());
     }
+    let (parts, body) = request.into_parts();
+    let body = Body::passing(body, Finish::Nothing);
+    serve_attempt(shared, Request::from_parts(parts, body)).await
+}
+
+/// Answers an attempt, also one that the outbound proxy of this daemon makes.
+pub(crate) async fn serve_attempt(shared: Arc<Shared>, request: Request<Body>) -> Response<Body> {
     let (parts, body) = request.into_parts();
     match read_head(&shared, &parts.headers) {
-        Ok(head) => take(shared, head, parts, Body::passing(body, Finish::Nothing)).await,
+        Ok(head) => take(shared, head, parts, body).await,
         Err(error) => malformed(&error),
     }
 }
@@ -274,6 +308,7 @@
         class,
         weight: weight.unwrap_or(1),
         tenant: tenant.0,
+        rank: header::parse(headers, &header::RANK).unwrap_or(DEFAULT_RANK),
         deadline: shared.now() + left,
         key,
         once,
@@ -334,20 +369,25 @@
     body: Body,
     job: Job,
 ) -> Response<Body> {
-    let Some(address) = lock(&shared.target).as_ref().map(|target| target.address) else {
-        return not_handed(&shared, job);
+    let Some(target) = lock(&shared.target).clone() else {
+        return not_handed(&shared, job, Point::TargetConnect);
     };
     strip(&mut parts.headers);
     let left = head.deadline.saturating_sub(shared.now());
     header::set(&mut parts.headers, header::DEADLINE_MS, &left.as_millis().to_string());
+    let id = call::caller(&parts.headers).id;
+    if id.is_some() {
+        let instance = target.occupant.as_ref().map(|occupant| &*occupant.report().instance);
+        call::address(&mut parts.headers, left, instance);
+    }
     let request = Request::from_parts(parts, body);
-    let exchange = shared.pool.exchange(address, request, head.key.is_none());
+    let exchange = shared.pool.exchange(target.address, request, head.key.is_none());
     let exchanged = tokio::time::timeout(left, exchange).await;
     let (response, lease) = match exchanged {
         Ok(Ok(exchanged)) => exchanged,
         Ok(Err(ExchangeError::Connect(_))) => {
             note_target(&shared, false);
-            return not_handed(&shared, job);
+            return not_handed(&shared, job, Point::TargetConnect);
         }
         Ok(Err(ExchangeError::Broken(_))) => {
             job.end(Ended::Broken);
@@ -359,30 +399,67 @@
         }
     };
     note_target(&shared, true);
-    let (mut parts, incoming) = response.into_parts();
-    if target_shed(&parts) {
-        return not_handed(&shared, job);
+    let (parts, incoming) = response.into_parts();
+    let worth = match &id {
+        Some(id) => call::judge(parts.status, &parts.headers, id),
+        None if target_shed(&parts) => Answer::NotRun,
+        None => Answer::Ran,
+    };
+    match worth {
+        Answer::Ran => {}
+        Answer::NotRun | Answer::OtherInstance => {
+            if gather(incoming, MAX_WHOLE_BYTES).await.is_ok() {
+                lease.complete();
+            }
+            return not_handed(&shared, job, Point::TargetShed);
+        }
+        Answer::Foreign => {
+            job.end(Ended::Broken);
+            return answer(&shared, Reply::Unknown(Point::TargetGarbled));
+        }
+    }
+    let gathered = gather(incoming, MAX_WHOLE_BYTES);
+    let left = head.deadline.saturating_sub(shared.now());
+    match tokio::time::timeout(left, gathered).await {
+        Ok(Ok(gathered)) => deliver(&shared, &head, parts, gathered, lease, job),
+        Ok(Err(_)) => {
+            job.end(Ended::Answered(None));
+            answer(&shared, Reply::Ran)
+        }
+        Err(_) => {
+            job.end(Ended::Answered(None));
+            answer(&shared, Reply::Unknown(Point::Deadline))
+        }
     }
+}
+
+/// Passes the target's answer on.
+fn deliver(
+    shared: &Shared,
+    head: &Head,
+    mut parts: http::response::Parts,
+    gathered: Gathered,
+    lease: Lease,
+    job: Job,
+) -> Response<Body> {
     header::strip_hop_by_hop(&mut parts.headers);
-    let load = {
-        let now = shared.now();
-        lock(&shared.intake).load(now)
-    };
-    let small = incoming.size_hint().upper().is_some_and(|n| n <= MAX_KEPT_BYTES as u64);
-    let body = if head.key.is_some() && small {
-        if let Ok(collected) = Limited::new(incoming, MAX_KEPT_BYTES).collect().await {
+    let body = match gathered {
+        Gathered::Whole(body) => {
             lease.complete();
-            let body = collected.to_bytes();
-            let kept =
-                Kept { status: parts.status, headers: parts.headers.clone(), body: body.clone() };
-            job.end(Ended::Answered(Some(kept)));
+            let keep = head.key.is_some() && body.len() <= MAX_KEPT_BYTES;
+            let kept = keep.then(|| Kept {
+                status: parts.status,
+                headers: parts.headers.clone(),
+                body: body.clone(),
+            });
+            job.end(Ended::Answered(kept));
             Body::whole(body)
-        } else {
-            job.end(Ended::Answered(None));
-            return answer(&shared, Reply::Ran);
         }
-    } else {
-        Body::passing(incoming, Finish::Job(Box::new(job), lease))
+        Gathered::Large(read, rest) => Body::resumed(read, rest, Finish::Job(Box::new(job), lease)),
+    };
+    let load = {
+        let now = shared.now();
+        lock(&shared.intake).load(now)
     };
     header::set(&mut parts.headers, header::OUTCOME, Outcome::Ran.into());
     header::set(&mut parts.headers, header::VM, shared.settings.options.vm.as_str());
@@ -390,10 +467,10 @@
     Response::from_parts(parts, body)
 }
 
-fn not_handed(shared: &Arc<Shared>, job: Job) -> Response<Body> {
+fn not_handed(shared: &Arc<Shared>, job: Job, point: Point) -> Response<Body> {
     job.end(Ended::NotHanded);
     let retry_after = Duration::from_millis(100);
-    let reply = Reply::NotRun { point: Point::TargetConnect, refusal: None, retry_after };
+    let reply = Reply::NotRun { point, refusal: None, retry_after };
     answer(shared, reply)
 }
 
@@ -406,7 +483,7 @@
 /// Removes what is meant for this proxy.
 fn strip(headers: &mut HeaderMap) {
     header::strip_hop_by_hop(headers);
-    for name in [header::FLEET, header::ATTEMPT, header::BOOT, header::ROUTE] {
+    for name in [header::FLEET, header::ATTEMPT, header::BOOT, header::ROUTE, header::RANK] {
         headers.remove(name);
     }
     headers.insert(header::RETRY, http::HeaderValue::from_static("no"));
@@ -467,7 +544,7 @@
 pub(crate) fn usable_slots(shared: &Shared) -> u32 {
     let target = lock(&shared.target);
     match target.as_ref() {
-        Some(target) if !target.down && target.stage == Stage::Ready => {
+        Some(target) if !target.down && !target.silent && target.stage == Stage::Ready => {
             target.slots.min(target.connections)
         }
         _ => 0,
--- a/crates/medlarpoint_daemon/src/lib.rs
+++ b/crates/medlarpoint_daemon/src/lib.rs
@@ -13,12 +13,15 @@
 mod header;
 mod inbound;
 mod limit;
+mod local;
 mod log;
 mod metrics;
 mod outbound;
 mod peer;
 mod pool;
 mod reader;
+mod registry;
+mod reload;
 mod server;
 mod services;
 mod settings;
@@ -36,6 +39,6 @@
 pub use metrics::{InstallError, install as install_metrics};
 pub use settings::{
     ApiOptions, InvalidSettings, LimitOptions, ListenOptions, LogOptions, MembershipOptions,
-    Options, RoutingOptions, Settings, StoreOptions,
+    Options, RoutingOptions, Settings, Source, StoreOptions,
 };
 pub use traffic::{Reading, Traffic};
--- /dev/null
+++ b/crates/medlarpoint_daemon/src/local.rs
@@ -0,0 +1,120 @@
+//! Listeners for what is beside this daemon: the platform's question whether
+//! callers are served, and the reports of the target.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use medlarpoint_platform::{ready, report};
+use tokio::net::TcpListener;
+
+use crate::control::Driver;
+use crate::event::Event;
+use crate::state::Shared;
+use crate::target;
+
+/// Longest wait for a request on an open connection.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Largest report, in bytes.
+const MAX_REPORT_BYTES: usize = 16 * 1024;
+/// Pause after an accept that failed, for example for lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers whether callers are served, until the daemon closes.
+pub(crate) async fn serve_ready(shared: Arc<Shared>, listener: TcpListener) {
+    let state = Arc::clone(&shared);
+    serve(&shared, listener, move |request| {
+        let status = if !ready::is_question(request.method(), request.uri().path()) {
+            StatusCode::NOT_FOUND
+        } else if state.takes_callers() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        async move { answer(status, "") }
+    })
+    .await;
+}
+
+/// Takes the reports of the target, until the daemon closes.
+pub(crate) async fn serve_control(driver: Arc<Driver>, listener: TcpListener) {
+    let shared = Arc::clone(driver.shared());
+    serve(&shared, listener, move |request| take_report(Arc::clone(&driver), request)).await;
+}
+
+async fn serve<F>(
+    shared: &Arc<Shared>,
+    listener: TcpListener,
+    handle: impl Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+) where
+    F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = shared.wait_closed() => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let (shared, handle) = (Arc::clone(shared), handle.clone());
+        tokio::spawn(async move {
+            let service = service_fn(move |request| {
+                let answer = handle(request);
+                async move { Ok::<_, Infallible>(answer.await) }
+            });
+            let connection = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(IDLE_TIMEOUT)
+                .serve_connection(TokioIo::new(stream), service);
+            tokio::select! {
+                // A broken connection is the other end's to notice.
+                _ = connection => {}
+                () = shared.wait_closed() => {}
+            }
+        });
+    }
+}
+
+fn answer(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
+
+async fn take_report(driver: Arc<Driver>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let (parts, body) = request.into_parts();
+    let Some(message) = report::classify(&parts.method, parts.uri.path()) else {
+        return answer(StatusCode::NOT_FOUND, "");
+    };
+    let Ok(body) = Limited::new(body, MAX_REPORT_BYTES).collect().await else {
+        return answer(StatusCode::PAYLOAD_TOO_LARGE, "");
+    };
+    let body = body.to_bytes();
+    let (instance, taken) = match message {
+        report::Message::Heartbeat { instance } => {
+            let taken = report::heartbeat(&body).map_err(target::ReportError::from);
+            (instance, taken.and_then(|beat| target::report(&driver, instance, &beat)))
+        }
+        report::Message::Farewell { instance } => {
+            let taken = report::farewell(&body).map_err(target::ReportError::from);
+            (instance, taken.map(|born_ms| target::farewell(&driver, instance, born_ms)))
+        }
+    };
+    match taken {
+        Ok(()) => answer(StatusCode::OK, report::TAKEN),
+        Err(error) => {
+            let (instance, reason) = (instance.to_owned(), error.to_string());
+            driver.shared().emit(&Event::BadReport { instance, reason });
+            answer(StatusCode::BAD_REQUEST, "")
+        }
+    }
+}
--- a/crates/medlarpoint_daemon/src/log.rs
+++ b/crates/medlarpoint_daemon/src/log.rs
@@ -33,7 +33,7 @@
     Off,
 }
 
-/// Writes events to standard error.
+/// Writes events to standard output.
 #[derive(Clone)]
 pub struct Log {
     logger: Option<Arc<Logger>>,
@@ -53,7 +53,7 @@
 impl Log {
     /// Creates a log of the given shape.
     pub fn new(format: Format) -> Result<Self, SetupError> {
-        let sink = StdStreamSink::builder().std_stream(StdStream::Stderr);
+        let sink = StdStreamSink::builder().std_stream(StdStream::Stdout);
         let sink = match format {
             Format::Off => return Ok(Self { logger: None }),
             Format::Json => sink.formatter(JsonFormatter::new()).build_arc()?,
--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -6,23 +6,26 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
-use medlarpoint_model::Class;
+use medlarpoint_model::{Class, Name};
+use medlarpoint_platform::call;
 use medlarpoint_routing::{IdempotencyKey, Outcome, Plan, Terms};
 
-use crate::body::Body;
-use crate::exchange::{Exchange, Payload};
+use crate::body::{Body, Finish, Gathered, gather};
+use crate::exchange::{Exchange, Payload, set_retry_after};
 use crate::limit::Pace;
 use crate::state::{ServiceState, Shared, lock};
 use crate::{header, inbound};
 
 /// Request bodies up to this size are kept, so that a call can be sent again.
-const MAX_REPLAYED_BYTES: u64 = 64 * 1024;
+const MAX_REPLAYED_BYTES: usize = 64 * 1024;
+/// Advice to a caller for whom no target is in reach: the time that membership
+/// takes to learn of one.
+const RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Longest chain of proxied calls.
 const MAX_DEPTH: u32 = 32;
 /// Silence after which the inbound proxy is asked about an attempt.
-const SUSPECT_AFTER: Duration = Duration::from_millis(500);
+const SUSPECT_AFTER: Duration = Duration::from_millis(1_000);
 
 /// Why a call was refused before it was routed. Nothing ran.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr, thiserror::Error)]
@@ -70,11 +73,12 @@
         request.uri().path(),
         request.headers(),
     );
+    let fractional = call::caller(request.headers()).id.is_some();
     let class = plan.map_or("none", |plan| plan.route.class.into());
     let mut response = match plan {
         Some(plan) => route(&shared, Arc::clone(plan), request).await,
-        None if shared.is_ready() => refuse(Unroutable::NoRoute),
-        None => refuse(Unroutable::Starting),
+        None if shared.is_ready() => refuse(Unroutable::NoRoute, fractional),
+        None => refuse(Unroutable::Starting, fractional),
     };
     let version = in_force.snapshot.version.0.to_string();
     header::set(response.headers_mut(), header::VERSION, &version);
@@ -115,6 +119,8 @@
     plan: Arc<Plan>,
     request: Request<Incoming>,
 ) -> Response<Body> {
+    let caller = call::caller(request.headers());
+    let refuse = |reason| refuse(reason, caller.id.is_some());
     if !shared.is_ready() {
         return refuse(Unroutable::Starting);
     }
@@ -122,7 +128,7 @@
     if depth >= MAX_DEPTH {
         return refuse(Unroutable::TooDeep);
     }
-    let Some(service) = shared.service(&plan.route.service) else {
+    let Some(service) = shared.service(plan.service(rand::random())) else {
         return refuse(Unroutable::NoService);
     };
     let (mut parts, body) = request.into_parts();
@@ -133,15 +139,19 @@
         return refuse(Unroutable::BadBody);
     };
     header::strip_hop_by_hop(&mut parts.headers);
+    let origin = shared.live.load().service.clone();
+    call::set_origin(&mut parts.headers, origin.as_ref().map(Name::as_str));
     header::set(&mut parts.headers, header::DEPTH, &(depth + 1).to_string());
     let now = shared.now();
     let own = Duration::from_millis(plan.route.deadline_ms);
-    let asked = header::millis(&parts.headers, &header::DEADLINE_MS).unwrap_or(own);
+    let asked = header::millis(&parts.headers, &header::DEADLINE_MS);
+    let asked = asked.or(caller.time_left).unwrap_or(own);
     let key = idempotency_key(&plan, &parts.headers);
     let replayable = matches!(payload, Payload::Kept(_));
     let terms = Terms {
         repeatable: plan.route.repeatable,
         keyed: key.is_some(),
+        attempts: plan.route.attempts,
         may_retry: parts.headers.get(&header::RETRY).is_none_or(|value| value != "no"),
         deadline: now + own.min(asked),
         hedge_after: hedge_after(&service, &plan, replayable),
@@ -150,7 +160,9 @@
     lock(&service.retries).earn(plan.policy.retry_budget_percent);
     lock(&service.hedges).earn(plan.policy.hedge_budget_percent);
     let shared = Arc::clone(shared);
-    Exchange::new(shared, service, plan, parts, payload, key, terms).run().await
+    let mut exchange = Exchange::new(shared, service, plan, parts, payload, key, terms);
+    exchange.set_fractional(caller.id.is_some());
+    exchange.run().await
 }
 
 /// Small bodies are kept; others stream.
@@ -160,12 +172,16 @@
     }
     let limits = &shared.settings.options.limits;
     let pause = Duration::from_millis(limits.body_pause_ms);
-    let small = body.size_hint().upper().is_some_and(|size| size <= MAX_REPLAYED_BYTES);
-    let body = Body::paced(body, Pace::new(limits.body_bytes, pause));
-    if !small {
-        return Some(Payload::Stream(Some(body)));
+    if body.size_hint().lower() > MAX_REPLAYED_BYTES as u64 {
+        return Some(Payload::Stream(Some(Body::paced(body, Pace::new(limits.body_bytes, pause)))));
+    }
+    match tokio::time::timeout(pause, gather(body, MAX_REPLAYED_BYTES)).await {
+        Ok(Ok(Gathered::Whole(body))) => Some(Payload::Kept(body)),
+        Ok(Ok(Gathered::Large(read, rest))) => {
+            Some(Payload::Stream(Some(Body::resumed(read, rest, Finish::Nothing))))
+        }
+        Ok(Err(_)) | Err(_) => None,
     }
-    Some(Payload::Kept(body.collect().await.ok()?.to_bytes()))
 }
 
 fn idempotency_key(plan: &Plan, headers: &HeaderMap) -> Option<IdempotencyKey> {
@@ -187,14 +203,14 @@
     }
 }
 
-fn refuse(reason: Unroutable) -> Response<Body> {
+fn refuse(reason: Unroutable, fractional: bool) -> Response<Body> {
     let mut response = Response::new(Body::whole(format!("{reason}\n").into()));
     *response.status_mut() = reason.status();
     let headers = response.headers_mut();
     header::set(headers, header::OUTCOME, Outcome::NotRun.into());
     header::set(headers, header::POINT, reason.into());
     if reason.status() == StatusCode::SERVICE_UNAVAILABLE {
-        header::set(headers, http::header::RETRY_AFTER, "1");
+        set_retry_after(headers, RETRY_AFTER, fractional);
     }
     response
 }
--- a/crates/medlarpoint_daemon/src/pool.rs
+++ b/crates/medlarpoint_daemon/src/pool.rs
@@ -16,6 +16,7 @@
 
 use crate::body::Body;
 use crate::cuts::Cuts;
+use crate::header;
 
 /// Idle connections kept to one address.
 const MAX_IDLE: usize = 64;
@@ -24,6 +25,9 @@
 /// Silence after which a connection is not trusted with a call that may not be
 /// repeated: something on the way may have lost track of it.
 const TRUSTED_SILENCE: Duration = Duration::from_secs(1);
+/// Share of the time that the other end keeps an idle connection for which it
+/// is used.
+const KEPT_SHARE: f64 = 0.8;
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -31,6 +35,8 @@
 struct Idle {
     sender: SendRequest<Body>,
     heard: Instant,
+    /// How long the other end keeps it.
+    kept: Duration,
 }
 
 /// Keeps idle connections by address.
@@ -68,12 +74,13 @@
     pool: Arc<Pool>,
     address: SocketAddr,
     sender: SendRequest<Body>,
+    kept: Duration,
 }
 
 impl Lease {
     /// Hands the connection back after a whole exchange.
     pub(crate) fn complete(self) {
-        let idle = Idle { sender: self.sender, heard: Instant::now() };
+        let idle = Idle { sender: self.sender, heard: Instant::now(), kept: self.kept };
         let mut pool = self.pool.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = pool.entry(self.address).or_default();
         if list.len() < MAX_IDLE {
@@ -103,7 +110,10 @@
                 continue;
             }
             match sender.try_send_request(request).await {
-                Ok(response) => return Ok((response, self.lease(address, sender))),
+                Ok(response) => {
+                    let lease = self.lease(address, sender, &response);
+                    return Ok((response, lease));
+                }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(ExchangeError::Broken(error.into_error())),
@@ -121,7 +131,8 @@
     ) -> Result<(http::Response<Incoming>, Lease), ExchangeError> {
         let mut sender = self.connect(address).await?;
         let response = sender.send_request(request).await.map_err(ExchangeError::Broken)?;
-        Ok((response, self.lease(address, sender)))
+        let lease = self.lease(address, sender, &response);
+        Ok((response, lease))
     }
 
     /// Returns the links that are cut on purpose.
@@ -141,7 +152,7 @@
     pub(crate) fn collect(&self) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|_, list| {
-            list.retain(|one| one.heard.elapsed() < IDLE_TIME && !one.sender.is_closed());
+            list.retain(|one| one.heard.elapsed() < one.kept && !one.sender.is_closed());
             !list.is_empty()
         });
     }
@@ -151,15 +162,24 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.get_mut(&address)?;
         while let Some(one) = list.pop() {
-            if one.heard.elapsed() < trusted && !one.sender.is_closed() {
+            if one.heard.elapsed() < trusted.min(one.kept) && !one.sender.is_closed() {
                 return Some(one.sender);
             }
         }
         None
     }
 
-    fn lease(self: &Arc<Self>, address: SocketAddr, sender: SendRequest<Body>) -> Lease {
-        Lease { pool: Arc::clone(self), address, sender }
+    fn lease(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        sender: SendRequest<Body>,
+        response: &http::Response<Incoming>,
+    ) -> Lease {
+        let kept = header::keep_alive(response.headers()).map_or(IDLE_TIME, |kept| {
+            // The other end counts from when it sent, and may be early.
+            kept.mul_f64(KEPT_SHARE).min(IDLE_TIME)
+        });
+        Lease { pool: Arc::clone(self), address, sender, kept }
     }
 }
 
--- a/crates/medlarpoint_daemon/src/reader.rs
+++ b/crates/medlarpoint_daemon/src/reader.rs
@@ -1,84 +1,77 @@
-//! Reads the head from the store, and keeps the contacts there.
+//! Reads the configuration from the store.
+//!
+//! Two readers watch it for the whole fleet. Everybody else learns of new
+//! versions, and of how long ago the store was read, from the members, and
+//! reads the store itself only when that is too long ago.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use medlarpoint_config::{
-    Action, CorruptHead, Head, Rejection, Reply, Restore, checkpoint_key, head_key,
+    Action, CorruptHead, Head, Published, Rejection, Reply, Restore, checkpoint_key, head_key,
 };
-use medlarpoint_membership::{Contacts, Role, rank};
+use medlarpoint_membership::readers;
 use medlarpoint_model::Snapshot;
-use medlarpoint_store::{Error, Expected, Item, Key, Revision, Store};
+use medlarpoint_platform::operator;
+use medlarpoint_store::{Error, Item, Key, Revision, Store};
 
 use crate::clock::{jitter, wall_ms};
 use crate::control::{Driver, ROLE_HOLDERS};
 use crate::event::Event;
-use crate::peer;
+use crate::settings::Source;
 use crate::state::{Shared, lock};
 
-/// Longest wait of a watch.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
-/// Time between looks at the own role.
-const ROLE_CHECK: Duration = Duration::from_secs(1);
+/// Longest wait of a watch. Its end tells that the connection still works and
+/// that nothing has changed.
+const WATCH_WAIT: Duration = Duration::from_millis(700);
+/// Age of the last reading after which a daemon reads the store itself: the
+/// wait of a watch, the time to pass its end on, and some jitter.
+const STALE: Duration = Duration::from_millis(1_250);
 /// Longest wait after a failure of the store.
-const MAX_BACKOFF: Duration = Duration::from_secs(5);
-/// Time between renewals of the contacts.
-const CONTACTS_PERIOD: Duration = Duration::from_secs(10);
-/// Age up to which a daemon looks for others more often.
-const YOUNG: Duration = Duration::from_secs(10);
+const MAX_BACKOFF: Duration = Duration::from_millis(1_500);
+/// Readings a second of all daemons that are not readers, at the most.
+const FALLBACK_READS_PER_S: f64 = 100.0;
 /// Name of the source of a version read from the store.
 const STORE: &str = "the store";
+/// Author of the versions that the platform's operator publishes.
+const OPERATOR: &str = "operator";
 
-/// The head could not be read or put into force.
+/// The configuration could not be read or put into force.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum ReadError {
     #[error(transparent)]
     Store(#[from] Error),
     #[error(transparent)]
     Corrupt(#[from] CorruptHead),
+    #[error(transparent)]
+    Document(#[from] operator::Malformed),
     #[error("the checkpoint of the head is missing or malformed")]
     Checkpoint,
     #[error(transparent)]
     Rejected(#[from] Rejection),
 }
 
-fn contacts_key() -> Key {
-    "contacts".parse().expect("a valid literal")
+/// Returns where the configuration lies in the store.
+fn source_key(shared: &Shared) -> Key {
+    match shared.settings.options.source {
+        Source::Commits => head_key(),
+        Source::Operator => operator::key(),
+    }
 }
 
-/// Watches the head while this daemon is a reader, until the daemon closes.
-pub(crate) async fn watch_head(driver: Arc<Driver>) {
+/// Follows the configuration in the store until the daemon closes.
+pub(crate) async fn follow(driver: Arc<Driver>) {
     let shared = Arc::clone(driver.shared());
-    let key = head_key();
-    let mut after = Revision::default();
-    let mut failures = 0_u32;
+    let mut follower = Follower::default();
     loop {
-        let wait = if is_reader(&shared) {
-            let watched = tokio::select! {
-                watched = shared.store.watch(&key, after, WATCH_WAIT) => watched,
-                () = shared.wait_closed() => return,
-            };
-            note_store(&shared, watched.as_ref().err());
-            match watched {
-                Ok(Some(item)) => {
-                    failures = 0;
-                    after = item.revision;
-                    let taken = take_head(&driver, &item).await;
-                    after_head(&driver, taken, &mut after).await;
-                    continue;
-                }
-                Ok(None) => {
-                    failures = 0;
-                    continue;
-                }
-                Err(_) => backoff(&mut failures),
+        let wait = match duty(&shared) {
+            Duty::Watch => follower.watch(&driver).await,
+            Duty::Read => follower.read(&driver).await,
+            Duty::Rest(wait) => {
+                // The next watch begins with what is there by then.
+                follower.after = None;
+                wait
             }
-        } else {
-            // The next watch compares with what is in force by then.
-            after = Revision::default();
-            ROLE_CHECK
         };
         tokio::select! {
             () = tokio::time::sleep(wait) => {}
@@ -87,13 +80,110 @@
     }
 }
 
-fn backoff(failures: &mut u32) -> Duration {
-    *failures = (*failures + 1).min(6);
-    let limit = (ROLE_CHECK * (1 << *failures) / 4).min(MAX_BACKOFF);
-    jitter(limit)
+/// What this daemon has to do about the store now.
+enum Duty {
+    /// It is a reader.
+    Watch,
+    /// The last reading that it knows of is too old.
+    Read,
+    /// Others read.
+    Rest(Duration),
+}
+
+fn duty(shared: &Shared) -> Duty {
+    if !shared.is_ready() {
+        // Starting up reads the store as well.
+        return Duty::Rest(WATCH_WAIT);
+    }
+    let control = lock(&shared.control);
+    if readers(control.detector.table().live(), ROLE_HOLDERS).contains(&&control.detector.me().vm) {
+        return Duty::Watch;
+    }
+    let age = control.freshness.age(shared.now());
+    if age >= STALE { Duty::Read } else { Duty::Rest(STALE.saturating_sub(age)) }
+}
+
+/// Follows the changes of one key.
+#[derive(Debug, Default)]
+struct Follower {
+    /// Revision up to which everything is known.
+    after: Option<Revision>,
+    failures: u32,
+}
+
+impl Follower {
+    /// Waits for a change. Returns when to go on.
+    async fn watch(&mut self, driver: &Driver) -> Duration {
+        let shared = driver.shared();
+        let Some(after) = self.after else {
+            return self.read(driver).await;
+        };
+        let key = source_key(shared);
+        let watched = tokio::select! {
+            watched = shared.store.watch(&key, after, WATCH_WAIT) => watched,
+            () = shared.wait_closed() => return Duration::ZERO,
+        };
+        let changes = match watched {
+            Ok(changes) => changes,
+            Err(error) => return self.failed(shared, &error),
+        };
+        self.after = Some(changes.current);
+        let newest = changes.changes.into_iter().rev().find(|change| change.key == key);
+        if let Some(item) = newest.and_then(|change| change.item) {
+            self.take(driver, &item).await;
+        }
+        self.succeeded(driver);
+        Duration::ZERO
+    }
+
+    /// Reads what there is. Returns when to go on.
+    async fn read(&mut self, driver: &Driver) -> Duration {
+        let shared = driver.shared();
+        let key = source_key(shared);
+        let listing = match shared.store.list(&key).await {
+            Ok(listing) => listing,
+            Err(error) => return self.failed(shared, &error),
+        };
+        self.after = Some(listing.current);
+        if let Some((_, item)) = listing.items.iter().find(|(found, _)| *found == key) {
+            self.take(driver, item).await;
+        }
+        self.succeeded(driver);
+        fallback_pause(shared)
+    }
+
+    async fn take(&mut self, driver: &Driver, item: &Item) {
+        let taken = take(driver, item).await;
+        after_taking(driver, taken, &mut self.after).await;
+    }
+
+    fn succeeded(&mut self, driver: &Driver) {
+        self.failures = 0;
+        note_store(driver.shared(), None);
+        driver.store_read();
+    }
+
+    fn failed(&mut self, shared: &Shared, error: &Error) -> Duration {
+        if *error == Error::Compacted {
+            self.after = None;
+            return Duration::ZERO;
+        }
+        note_store(shared, Some(error));
+        self.failures = (self.failures + 1).min(4);
+        let limit = (MAX_BACKOFF * self.failures / 4).max(fallback_pause(shared));
+        limit / 4 + jitter(limit)
+    }
+}
+
+/// Time between two readings of a daemon that is not a reader; it grows with
+/// the fleet so that the rate of all is bounded.
+fn fallback_pause(shared: &Shared) -> Duration {
+    let members = lock(&shared.control).detector.table().live().count();
+    let spread = Duration::from_secs_f64(members as f64 / FALLBACK_READS_PER_S);
+    if spread <= STALE { Duration::ZERO } else { jitter(spread) }
 }
 
-async fn after_head(driver: &Driver, taken: Result<(), ReadError>, after: &mut Revision) {
+async fn after_taking(driver: &Driver, taken: Result<(), ReadError>, after: &mut Option<Revision>) {
     let shared = driver.shared();
     match taken {
         Ok(()) => {}
@@ -106,24 +196,46 @@
             shared.emit(&Event::Rejected { from: STORE.to_owned(), reason });
         }
         Err(error) => {
-            note_store(shared, Some(&Error::Unavailable(error.to_string())));
-            *after = Revision::default();
-            tokio::time::sleep(ROLE_CHECK).await;
+            shared.emit(&Event::Unreadable { reason: error.to_string() });
+            *after = None;
+            tokio::time::sleep(MAX_BACKOFF).await;
         }
     }
 }
 
-/// Reads the head once and puts it into force.
+/// Reads the configuration once and puts it into force.
 pub(crate) async fn refresh(driver: &Driver) -> Result<(), ReadError> {
     let shared = driver.shared();
-    let read = shared.store.get(&head_key()).await;
+    let read = shared.store.get(&source_key(shared)).await;
     note_store(shared, read.as_ref().err());
-    match read? {
-        Some(item) => take_head(driver, &item).await,
-        None => Ok(()),
+    if let Some(item) = read? {
+        take(driver, &item).await?;
+    }
+    driver.store_read();
+    Ok(())
+}
+
+async fn take(driver: &Driver, item: &Item) -> Result<(), ReadError> {
+    match driver.shared().settings.options.source {
+        Source::Commits => take_head(driver, item).await,
+        Source::Operator => take_document(driver, item),
     }
 }
 
+fn take_document(driver: &Driver, item: &Item) -> Result<(), ReadError> {
+    let document = operator::decode(&item.value)?;
+    let published = Published {
+        version: document.version,
+        author: OPERATOR.to_owned(),
+        at_ms: wall_ms(),
+        resources: document.resources,
+    };
+    let mut control = lock(&driver.shared().control);
+    let offer = control.replica.offer_published(published)?;
+    driver.applied(&mut control, STORE, Ok(offer));
+    Ok(())
+}
+
 async fn take_head(driver: &Driver, item: &Item) -> Result<(), ReadError> {
     let shared = driver.shared();
     let head = Head::decode(&item.value)?;
@@ -199,90 +311,3 @@
     drop(control);
     shared.changed();
 }
-
-/// Readers are the first two of each data centre in the store's region. In
-/// other regions they only read while nothing is heard from there.
-fn is_reader(shared: &Shared) -> bool {
-    let control = lock(&shared.control);
-    let options = &shared.settings.options;
-    let me = control.detector.me();
-    let live = control.detector.table().live_in(&me.data_centre);
-    if rank(Role::Reader, &me.vm, live.map(|record| &record.vm)) >= ROLE_HOLDERS {
-        return false;
-    }
-    if options.region == options.store.region {
-        return true;
-    }
-    let now = shared.now();
-    let table = control.detector.table();
-    let heard = control.detector.summaries().iter().any(|summed| {
-        let mut members = table.live_in(&summed.summary.data_centre);
-        let near_store = members.any(|record| record.region == options.store.region);
-        near_store && now.saturating_sub(summed.heard) < WATCH_WAIT
-    });
-    !heard
-}
-
-/// Keeps this data centre's contacts in the store current, and joins members
-/// that are found there but not known here: daemons that started at the same
-/// time, or either side of a link that was cut for long.
-pub(crate) async fn keep_contacts(shared: Arc<Shared>) {
-    loop {
-        let young = shared.now() < YOUNG;
-        let period = if young { CONTACTS_PERIOD / 10 } else { CONTACTS_PERIOD };
-        tokio::select! {
-            () = tokio::time::sleep(period / 2 + jitter(period)) => {}
-            () = shared.wait_closed() => return,
-        }
-        if !is_first_reader(&shared) {
-            continue;
-        }
-        // The next round tries again, whatever went wrong.
-        let _ = renew_contacts(&shared).await;
-    }
-}
-
-fn is_first_reader(shared: &Shared) -> bool {
-    let control = lock(&shared.control);
-    let me = control.detector.me();
-    let live = control.detector.table().live_in(&me.data_centre);
-    rank(Role::Reader, &me.vm, live.map(|record| &record.vm)) == 0
-}
-
-/// Reads the contacts and writes them back where they have changed.
-pub(crate) async fn renew_contacts(shared: &Shared) -> Result<(), Error> {
-    let (mut contacts, revision) = read_contacts(shared).await?;
-    let strangers = {
-        let control = lock(&shared.control);
-        let known: Vec<SocketAddr> = control.detector.table().live().map(|r| r.peer).collect();
-        let near = &shared.settings.options.data_centre;
-        let strangers = contacts.addresses(near).filter(|address| !known.contains(address));
-        strangers.collect::<Vec<SocketAddr>>()
-    };
-    for address in strangers {
-        // One that does not answer has gone.
-        let _ = peer::sync(shared, address, Vec::new()).await;
-    }
-    let changed = {
-        let control = lock(&shared.control);
-        let place = &shared.settings.options.data_centre;
-        contacts.renew(place, control.detector.table().live_in(place))
-    };
-    if !changed {
-        return Ok(());
-    }
-    let value = Bytes::from(rmp_serde::to_vec_named(&contacts).unwrap_or_default());
-    let expected = revision.map_or(Expected::Absent, Expected::Revision);
-    shared.store.swap(&contacts_key(), expected, value, None).await.map(|_| ())
-}
-
-/// Reads the contacts.
-pub(crate) async fn read_contacts(shared: &Shared) -> Result<(Contacts, Option<Revision>), Error> {
-    let read = shared.store.get(&contacts_key()).await;
-    note_store(shared, read.as_ref().err());
-    let Some(item) = read? else {
-        return Ok((Contacts::default(), None));
-    };
-    let contacts = rmp_serde::from_slice(&item.value).unwrap_or_default();
-    Ok((contacts, Some(item.revision)))
-}
--- a/crates/medlarpoint_daemon/src/settings.rs
+++ b/crates/medlarpoint_daemon/src/settings.rs
@@ -5,14 +5,18 @@
 use std::time::Duration;
 
 use medlarpoint_model::{DataCentre, Name, Region, Vm};
+use medlarpoint_platform::bounds::Bounds;
+use medlarpoint_platform::store::Endpoint;
 use medlarpoint_routing::Strategy;
-use medlarpoint_store::Endpoint;
 use schemars::JsonSchema;
 use serde::Deserialize;
 use strum::IntoEnumIterator;
 
 use crate::log;
 
+/// Time before the platform kills a stopping process by which it has ended.
+const KILL_MARGIN: Duration = Duration::from_millis(400);
+
 /// Settings as written in the file.
 #[derive(Clone, Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -25,6 +29,16 @@
     pub data_centre: DataCentre,
     /// Region of the data centre.
     pub region: Region,
+    /// Service of this VM's target, told to the targets that its calls reach.
+    #[serde(default)]
+    pub service: Option<Name>,
+    /// Who owns the configuration: `commits` made through the operators' API,
+    /// or the platform's `operator`, who publishes whole versions in the store.
+    #[serde(default)]
+    pub source: Source,
+    /// Figures of the installation, as the platform writes them.
+    #[serde(default)]
+    pub bounds: String,
     /// Peer addresses of other daemons, for a start while the store is down.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
@@ -63,6 +77,18 @@
     2
 }
 
+/// Who owns the configuration.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, JsonSchema, strum::Display)]
+#[serde(rename_all = "lowercase")]
+#[strum(serialize_all = "lowercase")]
+pub enum Source {
+    /// Commits made through the operators' API.
+    #[default]
+    Commits,
+    /// The platform's operator, who publishes whole versions in the store.
+    Operator,
+}
+
 /// Listening addresses. Each has to be an address that peers can reach.
 #[derive(Clone, Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -75,6 +101,12 @@
     pub peer: SocketAddr,
     /// For operators and the target's announcements.
     pub api: SocketAddr,
+    /// For the platform's question whether callers are served.
+    #[serde(default)]
+    pub ready: Option<SocketAddr>,
+    /// For the reports of the target beside this daemon.
+    #[serde(default)]
+    pub control: Option<SocketAddr>,
 }
 
 /// The platform's store.
@@ -83,8 +115,6 @@
 pub struct StoreOptions {
     /// Addresses of the store's servers.
     pub endpoints: Vec<SocketAddr>,
-    /// Region of the store; readers in other regions wait for its relays.
-    pub region: Region,
     /// Longest time a call may take, in milliseconds.
     #[serde(default = "default_store_timeout_ms")]
     pub timeout_ms: u64,
@@ -185,6 +215,8 @@
     pub store_timeout: Duration,
     /// Longest time a planned stop waits.
     pub drain_timeout: Duration,
+    /// Figures of the installation.
+    pub bounds: Bounds,
     /// How targets are chosen.
     pub strategy: Strategy,
     /// Bearer token for writes; without one, writes are taken only from this machine.
@@ -263,10 +295,19 @@
             InvalidSettings::Value { key: "routing.strategy", message }
         })?;
         let token = read_token(&self.api)?;
+        let bounds = Bounds::parse(&self.bounds).map_err(|error| InvalidSettings::Value {
+            key: "bounds",
+            message: error.to_string(),
+        })?;
+        let drain_timeout = match self.bounds.is_empty() {
+            true => Duration::from_millis(self.drain_timeout_ms),
+            false => bounds.grace.saturating_sub(KILL_MARGIN),
+        };
         Ok(Settings {
             endpoints: self.store.endpoints.iter().copied().map(Endpoint).collect(),
             store_timeout: Duration::from_millis(self.store.timeout_ms),
-            drain_timeout: Duration::from_millis(self.drain_timeout_ms),
+            drain_timeout,
+            bounds,
             strategy,
             token,
             options: self,
--- a/crates/medlarpoint_daemon/src/settings/tests.rs
+++ b/crates/medlarpoint_daemon/src/settings/tests.rs
@@ -13,7 +13,6 @@
 api = "127.0.0.1:7004"
 [store]
 endpoints = ["127.0.0.1:7400"]
-region = "north"
 "#;
 
 fn fault(text: &str) -> String {
--- a/crates/medlarpoint_daemon/src/startup.rs
+++ b/crates/medlarpoint_daemon/src/startup.rs
@@ -5,24 +5,25 @@
 use std::time::Duration;
 
 use medlarpoint_config::Distance;
-use medlarpoint_store::Error;
+use medlarpoint_model::Version;
+use medlarpoint_wire::Record;
 use rand::seq::SliceRandom;
 
 use crate::clock::jitter;
 use crate::control::Driver;
 use crate::event::Event;
+use crate::settings::Source;
 use crate::state::{Shared, lock};
-use crate::{peer, reader};
+use crate::{peer, reader, registry};
 
 /// Peers asked for their version before serving.
 const PEERS_ASKED: usize = 3;
+/// Peers tried until that many have answered.
+const PEERS_TRIED: usize = 5;
 /// First wait between tries.
 const FIRST_WAIT: Duration = Duration::from_millis(200);
 /// Longest wait between tries.
-const MAX_WAIT: Duration = Duration::from_secs(3);
-
-/// Longest pause after another daemon changed the contacts first.
-const CONFLICT_PAUSE: Duration = Duration::from_millis(50);
+const MAX_WAIT: Duration = Duration::from_millis(1_500);
 
 /// What a round of catching up found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,15 +43,19 @@
     let mut wait = FIRST_WAIT;
     loop {
         let found = round(&driver).await;
-        if found != Found::Nothing {
+        if is_enough(&shared, found) {
             driver.set_ready();
-            announce_contact(&shared).await;
             return;
         }
-        let reason = "neither a peer nor the store can be reached".to_owned();
-        lock(&shared.control).waiting = Some(reason.clone());
-        shared.emit(&Event::Waiting { reason });
-        let pause = jitter(wait);
+        let reason = match found {
+            Found::Nothing => "neither a peer nor the store can be reached".to_owned(),
+            Found::Peers | Found::StoreOnly => "no configuration has been published".to_owned(),
+        };
+        let news = lock(&shared.control).waiting.replace(reason.clone());
+        if news.as_ref() != Some(&reason) {
+            shared.emit(&Event::Waiting { reason });
+        }
+        let pause = wait / 4 + jitter(wait);
         wait = (wait * 2).min(MAX_WAIT);
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
@@ -59,55 +64,44 @@
     }
 }
 
-/// A data centre that the store does not know yet gets its first contact at
-/// once, so that the next daemon finds this one.
-async fn announce_contact(shared: &Shared) {
-    for _ in 0..5 {
-        match reader::read_contacts(shared).await {
-            Ok((contacts, _)) => {
-                let place = &shared.settings.options.data_centre;
-                if contacts.0.get(place).is_some_and(|known| known.len() >= 3) {
-                    return;
-                }
-            }
-            Err(_) => return,
-        }
-        match reader::renew_contacts(shared).await {
-            Err(Error::Conflict { .. }) => {}
-            _ => return,
-        }
-        tokio::time::sleep(jitter(CONFLICT_PAUSE)).await;
+/// Tells whether callers can be served with what was found.
+fn is_enough(shared: &Shared, found: Found) -> bool {
+    match shared.settings.options.source {
+        Source::Commits => found != Found::Nothing,
+        Source::Operator => shared.version() > Version::ZERO,
     }
 }
 
 async fn round(driver: &Driver) -> Found {
     let shared = driver.shared();
-    let contacts = reader::read_contacts(shared).await;
+    let listed = registry::list(shared).await;
     let mut addresses = shared.settings.options.seeds.clone();
-    if let Ok((contacts, _)) = &contacts {
-        let near = &shared.settings.options.data_centre;
-        let mut known: Vec<SocketAddr> = contacts.0.get(near).cloned().unwrap_or_default();
-        known.shuffle(&mut rand::rng());
-        addresses.extend(known);
-        addresses.extend(contacts.addresses(near));
+    if let Ok(records) = &listed {
+        addresses.extend(by_distance(shared, records));
     }
     let me = lock(&shared.control).detector.me().peer;
+    addresses.retain(|address| *address != me);
     let mut reached = 0;
-    let mut asked: Vec<SocketAddr> = Vec::new();
-    for address in addresses {
-        if address == me || asked.contains(&address) || reached >= PEERS_ASKED {
-            continue;
-        }
-        asked.push(address);
-        if peer::sync(shared, address, Vec::new()).await.is_ok() {
-            reached += 1;
+    for address in addresses.into_iter().take(PEERS_TRIED) {
+        reached += usize::from(peer::sync(shared, address, Vec::new()).await.is_ok());
+        if reached >= PEERS_ASKED {
+            break;
         }
     }
-    if reached > 0 && ask_peers(driver).await {
+    let asked = reached > 0 && ask_peers(driver).await;
+    if asked && is_enough(shared, Found::Peers) {
         return Found::Peers;
     }
     let read = reader::refresh(driver).await;
-    if contacts.is_ok() && read.is_ok() { Found::StoreOnly } else { Found::Nothing }
+    if listed.is_ok() && read.is_ok() { Found::StoreOnly } else { Found::Nothing }
+}
+
+/// Orders the addresses of members: near ones first, at random among equals.
+fn by_distance(shared: &Shared, records: &[Record]) -> Vec<SocketAddr> {
+    let mut records: Vec<&Record> = records.iter().collect();
+    records.shuffle(&mut rand::rng());
+    records.sort_by_key(|record| shared.distance(record));
+    records.into_iter().map(|record| record.peer).collect()
 }
 
 /// Pulls from a few live peers until none has anything newer.
--- a/crates/medlarpoint_daemon/src/state.rs
+++ b/crates/medlarpoint_daemon/src/state.rs
@@ -11,10 +11,12 @@
 use arc_swap::ArcSwap;
 use indexmap::IndexMap;
 use medlarpoint_config::{Distance, History, Rejection, Replica, Spreader};
-use medlarpoint_membership::{Detector, Reporter};
+use medlarpoint_membership::{Detector, Freshness, Occupant, Reporter};
 use medlarpoint_model::{Name, Snapshot, Version};
+use medlarpoint_platform::bounds::Bounds;
+use medlarpoint_platform::store::Client;
 use medlarpoint_routing::{Budget, Hedge, Intake, Picker, Routes};
-use medlarpoint_store::Client;
+use medlarpoint_store::LeaseId;
 use medlarpoint_wire::{Record, Stage, Tip};
 use tokio::sync::{Notify, watch};
 
@@ -60,6 +62,8 @@
     pub(crate) history: History,
     /// When this daemon became a reporter, on the local clock.
     pub(crate) reporter_since: Option<Duration>,
+    /// When somebody last read the store.
+    pub(crate) freshness: Freshness,
     pub(crate) applied_ms: u64,
     pub(crate) last_rejection: Option<(u64, Rejection)>,
     /// Why callers are not served yet.
@@ -72,13 +76,33 @@
 /// The target of this VM.
 #[derive(Clone, Debug)]
 pub(crate) struct TargetState {
+    /// Its process, where it reports as the platform's targets do.
+    pub(crate) occupant: Option<Occupant>,
     pub(crate) service: Name,
     pub(crate) address: SocketAddr,
     pub(crate) slots: u32,
     pub(crate) connections: u32,
     pub(crate) stage: Stage,
     pub(crate) failures: u32,
+    /// It refuses connections.
     pub(crate) down: bool,
+    /// It has ceased to report.
+    pub(crate) silent: bool,
+}
+
+/// Settings that may change while the daemon runs.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Live {
+    /// Service of this VM's target.
+    pub(crate) service: Option<Name>,
+    /// Figures of the installation.
+    pub(crate) bounds: Bounds,
+}
+
+impl Live {
+    pub(crate) fn of(settings: &Settings) -> Self {
+        Self { service: settings.options.service.clone(), bounds: settings.bounds }
+    }
 }
 
 /// Everything the tasks of a daemon share.
@@ -87,6 +111,8 @@
     pub(crate) settings: Settings,
     pub(crate) clock: Clock,
     pub(crate) boot: u64,
+    /// Settings that may change while the daemon runs.
+    pub(crate) live: ArcSwap<Live>,
     pub(crate) log: Log,
     pub(crate) store: Client,
     pub(crate) traffic: Traffic,
@@ -96,8 +122,14 @@
     pub(crate) intake: Mutex<Intake<Kept>>,
     pub(crate) waiters: Mutex<Waiters>,
     pub(crate) target: Mutex<Option<TargetState>>,
+    /// Lease that new records of idempotency keys are bound to, and when it
+    /// was granted. Held while a new one is asked for.
+    pub(crate) claim_lease: tokio::sync::Mutex<Option<(LeaseId, Duration)>>,
     pub(crate) pool: Arc<Pool>,
     pub(crate) ready: AtomicBool,
+    /// A planned stop has begun: no new callers should come.
+    pub(crate) leaving: AtomicBool,
+    /// A planned stop lets no more calls in.
     pub(crate) stopping: AtomicBool,
     /// Calls from callers that are not answered yet.
     pub(crate) outbound_calls: AtomicU64,
@@ -139,6 +171,11 @@
         self.ready.load(Ordering::Acquire)
     }
 
+    /// Tells whether new callers should come.
+    pub(crate) fn takes_callers(&self) -> bool {
+        self.is_ready() && !self.leaving.load(Ordering::Acquire)
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Acquire)
     }
--- a/crates/medlarpoint_daemon/src/target.rs
+++ b/crates/medlarpoint_daemon/src/target.rs
@@ -1,9 +1,12 @@
 //! The target of this VM: announcement, drain, health.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use medlarpoint_api::Target;
+use medlarpoint_membership::{Occupant, Report, Verdict};
+use medlarpoint_platform::report::{Heartbeat, Malformed};
 use medlarpoint_wire::{Announcement, Stage};
 
 use crate::control::Driver;
@@ -29,6 +32,106 @@
     Missing,
 }
 
+/// Silence of a target that reports regularly after which it is taken out:
+/// three of its reports and some delay.
+const SILENCE: Duration = Duration::from_millis(5_000);
+/// Connections to a target that does not say how many it takes.
+const UNLIMITED: u32 = u32::MAX;
+
+/// A report that is not taken.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum ReportError {
+    #[error(transparent)]
+    Malformed(#[from] Malformed),
+    #[error("there is no service {0} here")]
+    Service(medlarpoint_model::Name),
+}
+
+/// Takes a heartbeat of a target. Once this returns, no new work reaches a
+/// target that leaves.
+pub(crate) fn report(driver: &Driver, instance: &str, beat: &Heartbeat) -> Result<(), ReportError> {
+    let shared = driver.shared();
+    let own = shared.live.load().service.as_ref() == Some(&beat.service);
+    if !own && shared.in_force.load().snapshot.service(&beat.service).is_none() {
+        return Err(ReportError::Service(beat.service.clone()));
+    }
+    let report = Report {
+        instance: instance.into(),
+        born_ms: beat.born_ms,
+        seq: beat.seq,
+        draining: beat.draining,
+    };
+    let (verdict, back) = {
+        let mut target = lock(&shared.target);
+        let was_silent = target.as_ref().is_some_and(|target| target.silent);
+        let mut occupant = target.as_ref().and_then(|target| target.occupant.clone());
+        let verdict = Occupant::take(&mut occupant, shared.now(), report);
+        if verdict != Verdict::Late {
+            place(&mut target, occupant, beat);
+        }
+        (verdict, was_silent)
+    };
+    let text = || instance.to_owned();
+    match verdict {
+        Verdict::Late => shared.emit(&Event::LateReport { instance: text(), seq: beat.seq }),
+        Verdict::Same if back => publish(driver),
+        Verdict::Same => {}
+        Verdict::Replaced => {
+            let (service, slots) = (beat.service.clone(), beat.slots);
+            shared.emit(&Event::TargetReplaced { service, instance: text(), slots });
+            driver.refresh_policy();
+            publish(driver);
+        }
+        Verdict::Stage => {
+            if beat.draining {
+                shared.emit(&Event::TargetLeaving { instance: text() });
+            }
+            publish(driver);
+        }
+    }
+    Ok(())
+}
+
+/// Puts the occupant into its place with what its heartbeat says.
+fn place(target: &mut Option<TargetState>, occupant: Option<Occupant>, beat: &Heartbeat) {
+    let takes_work = occupant.as_ref().is_some_and(Occupant::takes_work);
+    let same = target.as_ref().is_some_and(|known| {
+        let born = |o: &Option<Occupant>| o.as_ref().map(|o| o.report().born_ms);
+        let name = |o: &Option<Occupant>| o.as_ref().map(|o| o.report().instance.clone());
+        born(&known.occupant) == born(&occupant) && name(&known.occupant) == name(&occupant)
+    });
+    let kept = target.as_ref().filter(|_| same);
+    *target = Some(TargetState {
+        service: beat.service.clone(),
+        address: beat.address,
+        slots: beat.slots,
+        connections: UNLIMITED,
+        stage: if takes_work { Stage::Ready } else { Stage::Draining },
+        failures: kept.map_or(0, |known| known.failures),
+        down: kept.is_some_and(|known| known.down),
+        silent: false,
+        occupant,
+    });
+}
+
+/// Takes the farewell of a target. Once this returns, no new work reaches it.
+pub(crate) fn farewell(driver: &Driver, instance: &str, born_ms: Option<u64>) {
+    let shared = driver.shared();
+    let left = {
+        let mut target = lock(&shared.target);
+        let occupant = target.as_mut().and_then(|target| target.occupant.as_mut());
+        let left = occupant.is_some_and(|known| known.farewell(instance, born_ms));
+        if let Some(target) = target.as_mut().filter(|_| left) {
+            target.stage = Stage::Draining;
+        }
+        left
+    };
+    if left {
+        shared.emit(&Event::TargetLeaving { instance: instance.to_owned() });
+        publish(driver);
+    }
+}
+
 /// Takes the announcement of the target.
 pub(crate) fn announce(driver: &Driver, target: Target) -> Result<(), TargetError> {
     if !(1..=MAX_SLOTS).contains(&target.slots) {
@@ -50,6 +153,8 @@
             return Ok(());
         }
         *known = Some(TargetState {
+            occupant: None,
+            silent: false,
             service: target.service,
             address: target.address,
             slots: target.slots,
@@ -90,13 +195,16 @@
         return;
     };
     let draining = state.stage == Stage::Draining;
-    {
+    let actions = {
         let now = shared.now();
         let mut intake = lock(&shared.intake);
-        intake.set_draining(draining || shared.is_stopping());
+        intake.set_draining(draining || shared.leaving.load(Ordering::Acquire));
         intake.gate_mut().set_slots(if draining { state.slots } else { usable }, now);
-    }
-    let stage = if draining || state.down { Stage::Draining } else { Stage::Ready };
+        // What waits is better served elsewhere.
+        if draining { intake.bounce(now) } else { Vec::new() }
+    };
+    inbound::perform(shared, actions);
+    let stage = if draining || state.down || state.silent { Stage::Draining } else { Stage::Ready };
     let announcement = Announcement { service: state.service, slots: state.slots, stage };
     driver.update_record(|record| record.target = Some(announcement));
 }
@@ -120,12 +228,35 @@
         inbound::perform(&shared, actions);
         sweeps += 1;
         if sweeps.is_multiple_of(HEALTH_EVERY) {
+            check_silence(&driver, &shared);
             check_health(&driver, &shared).await;
             shared.pool.collect();
         }
     }
 }
 
+/// Takes a target out that has ceased to report, until its next report.
+fn check_silence(driver: &Driver, shared: &Shared) {
+    let now = shared.now();
+    let silent = {
+        let mut target = lock(&shared.target);
+        let Some(target) = target.as_mut().filter(|target| !target.silent) else {
+            return;
+        };
+        let Some(occupant) = target.occupant.as_ref() else {
+            return;
+        };
+        let silence = now.saturating_sub(occupant.heard());
+        if silence < SILENCE {
+            return;
+        }
+        target.silent = true;
+        (occupant.report().instance.to_string(), silence.as_millis())
+    };
+    shared.emit(&Event::TargetSilent { instance: silent.0, ms: silent.1 });
+    publish(driver);
+}
+
 async fn check_health(driver: &Driver, shared: &Shared) {
     let Some(target) = lock(&shared.target).clone() else {
         return;
--- a/crates/medlarpoint_dev/src/outcomes.rs
+++ b/crates/medlarpoint_dev/src/outcomes.rs
@@ -33,7 +33,13 @@
         Point::NoTarget => "call::tests::no_target_is_not_run",
         Point::Connect => "call::tests::a_refused_connection_is_tried_elsewhere",
         Point::Sent => "call::tests::a_broken_connection_is_asked_after",
-        Point::Silent => "call::tests::an_attempt_never_seen_is_sent_again",
+        Point::Silent => "call::tests::a_restarted_proxy_leaves_the_outcome_unknown",
+        Point::Fenced => "call::tests::an_attempt_never_seen_is_sent_again",
+        Point::TargetShed => {
+            "call::tests::a_target_that_sheds_is_left_for_another_within_the_budget"
+        }
+        Point::TargetFailed => "call::tests::a_failure_is_told_if_nothing_better_comes",
+        Point::TargetGarbled => "call::tests::a_garbled_answer_is_never_passed_on",
         Point::HalfAnswer => "call::tests::a_lost_answer_ends_a_call_that_may_not_be_repeated",
         Point::Refused => "call::tests::a_refusal_is_tried_elsewhere",
         Point::Restarted => "intake::tests::an_attempt_for_an_earlier_run_is_not_run",
--- a/crates/medlarpoint_membership/src/detector.rs
+++ b/crates/medlarpoint_membership/src/detector.rs
@@ -243,7 +243,10 @@
             Body::Indirect { seq, target } => {
                 self.run_errand(now, address, *seq, target, &mut actions);
             }
-            Body::Announce { .. } | Body::Report { .. } | Body::Receipt { .. } => {}
+            Body::Announce { .. }
+            | Body::Fresh { .. }
+            | Body::Report { .. }
+            | Body::Receipt { .. } => {}
         }
         actions
     }
--- a/crates/medlarpoint_membership/src/detector/tests.rs
+++ b/crates/medlarpoint_membership/src/detector/tests.rs
@@ -21,6 +21,7 @@
         incarnation: Detector::first_incarnation(Boot(1)),
         status: Status::Alive,
         target: None,
+        store: None,
     }
 }
 
--- a/crates/medlarpoint_membership/src/lib.rs
+++ b/crates/medlarpoint_membership/src/lib.rs
@@ -5,21 +5,24 @@
 //! ([`rank`]) do double work, never wrong work. [`Reporter`] sums up which
 //! version a data centre has in force.
 
-mod contacts;
 mod detector;
+mod freshness;
 mod member;
+mod occupant;
 mod options;
 mod queue;
 mod reporter;
 mod role;
 mod summaries;
 mod table;
+pub mod wave;
 
-pub use contacts::Contacts;
 pub use detector::{Action, Detector, Event};
+pub use freshness::Freshness;
 pub use member::Member;
+pub use occupant::{Occupant, Report, Verdict};
 pub use options::Options;
 pub use reporter::Reporter;
-pub use role::{Role, rank, ranked};
+pub use role::{Role, rank, ranked, readers};
 pub use summaries::{Summaries, Summed};
 pub use table::Table;
--- a/crates/medlarpoint_model/src/delta.rs
+++ b/crates/medlarpoint_model/src/delta.rs
@@ -70,10 +70,12 @@
     }
 }
 
-/// The changes that turn one version into the next.
+/// The changes that turn one version into a later one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct Delta {
-    /// Version that results; the base is the version before it.
+    /// Version that the changes apply to.
+    pub base: Version,
+    /// Version that results; higher than the base.
     pub version: Version,
     /// Digest of the base.
     pub base_digest: Digest,
--- a/crates/medlarpoint_model/src/digest.rs
+++ b/crates/medlarpoint_model/src/digest.rs
@@ -14,8 +14,9 @@
 
 /// A truncated BLAKE3 hash over all entries in key order.
 ///
-/// Two configurations with the same digest hold the same resources, each last
-/// changed in the same version.
+/// Two configurations with the same digest hold the same resources. The
+/// version in which each last changed is left out: daemons that saw different
+/// versions in between may differ there.
 #[derive(Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, JsonSchema)]
 #[schemars(transparent)]
 pub struct Digest(#[schemars(with = "String")] [u8; DIGEST_BYTES]);
@@ -60,8 +61,8 @@
     /// Computes the digest of `entries`, which must be sorted by key.
     pub(crate) fn of(entries: &IndexMap<Key, Entry>) -> Self {
         let mut hasher = blake3::Hasher::new();
-        for pair in entries {
-            let bytes = rmp_serde::to_vec(&pair).unwrap_or_default();
+        for (key, entry) in entries {
+            let bytes = rmp_serde::to_vec(&(key, &entry.resource)).unwrap_or_default();
             hasher.update(&bytes);
         }
         let mut out = [0; DIGEST_BYTES];
--- a/crates/medlarpoint_model/src/lib.rs
+++ b/crates/medlarpoint_model/src/lib.rs
@@ -25,7 +25,7 @@
 pub use place::{DataCentre, Region, Tenant, Vm};
 pub use policy::Policy;
 pub use resource::{Entry, Key, Kind, Resource};
-pub use route::{Class, Matcher, Once, Route};
+pub use route::{Class, Matcher, Once, Route, Share};
 pub use service::Service;
 pub use snapshot::{Mismatch, Snapshot};
 pub use validation::validate;
--- a/crates/medlarpoint_model/src/route.rs
+++ b/crates/medlarpoint_model/src/route.rs
@@ -29,12 +29,63 @@
     /// Longest time a call may take, in milliseconds.
     #[serde(default = "default_deadline_ms")]
     pub deadline_ms: u64,
+    /// Services that share the calls by weight in place of `service`; when
+    /// set, the first of them is `service`.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub split: Vec<Share>,
+    /// Most targets that may be given one call.
+    #[serde(default = "default_attempts")]
+    pub attempts: u32,
+    /// Rank of the calls when slots are short; 0 is served first.
+    #[serde(default = "default_priority")]
+    pub priority: u8,
+    /// Time within which an answer is of full use to the caller, in
+    /// milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub target_latency_ms: Option<u64>,
+}
+
+impl Route {
+    /// Returns a route that sends every call to `service`.
+    pub fn new(name: Name, service: Name) -> Self {
+        Self {
+            name,
+            service,
+            matcher: Matcher::default(),
+            class: Class::default(),
+            repeatable: false,
+            once: Once::default(),
+            deadline_ms: default_deadline_ms(),
+            split: Vec::new(),
+            attempts: default_attempts(),
+            priority: default_priority(),
+            target_latency_ms: None,
+        }
+    }
 }
 
 fn default_deadline_ms() -> u64 {
     5_000
 }
 
+fn default_attempts() -> u32 {
+    3
+}
+
+fn default_priority() -> u8 {
+    1
+}
+
+/// A service's part of the calls of a route.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Share {
+    /// The service.
+    pub service: Name,
+    /// Its part, in proportion to the sum of all weights.
+    pub weight: u32,
+}
+
 /// The conditions of a route. All that are set must hold.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
--- a/crates/medlarpoint_model/src/snapshot.rs
+++ b/crates/medlarpoint_model/src/snapshot.rs
@@ -56,7 +56,12 @@
     /// Builds the result of `changes` as the next version, without validation.
     #[must_use]
     pub fn edit(&self, changes: &[Change]) -> Self {
-        let version = self.version.next();
+        self.edit_as(self.version.next(), changes)
+    }
+
+    /// Builds the result of `changes` as `version`, without validation.
+    #[must_use]
+    pub fn edit_as(&self, version: Version, changes: &[Change]) -> Self {
         let mut entries = self.entries.clone();
         for change in changes {
             match change {
@@ -76,13 +81,13 @@
 
     /// Applies `delta`, checking base, result and validity.
     pub fn apply(&self, delta: &Delta) -> Result<Self, Mismatch> {
-        if delta.version != self.version.next() {
+        if delta.base != self.version || delta.version <= delta.base {
             return Err(Mismatch::Version { base: self.version, delta: delta.version });
         }
         if delta.base_digest != self.digest {
             return Err(Mismatch::BaseDigest { base: self.version });
         }
-        let next = self.edit(&delta.changes);
+        let next = self.edit_as(delta.version, &delta.changes);
         if next.digest != delta.digest {
             return Err(Mismatch::Digest { version: next.version });
         }
--- a/crates/medlarpoint_model/src/validation.rs
+++ b/crates/medlarpoint_model/src/validation.rs
@@ -6,6 +6,8 @@
 
 /// Longest permitted deadline, in milliseconds.
 const MAX_DEADLINE_MS: u64 = 600_000;
+/// Most targets that one call may be given.
+const MAX_ATTEMPTS: u32 = 100;
 /// Longest permitted ramp, in milliseconds.
 const MAX_RAMP_MS: u64 = 600_000;
 
@@ -63,11 +65,28 @@
 
 fn check_route(snapshot: &Snapshot, route: &Route, faults: &mut Vec<Fault>) {
     let path = |field: &str| format!("route[{}].{field}", route.name);
-    if snapshot.service(&route.service).is_none() {
+    let parts = route.split.iter().map(|share| (&share.service, "split"));
+    for (service, field) in std::iter::once((&route.service, "service")).chain(parts) {
+        if snapshot.service(service).is_none() {
+            faults.push(Fault {
+                rule: Rule::DanglingService,
+                path: path(field),
+                message: format!("there is no service {service}: declare it first"),
+            });
+        }
+    }
+    if !route.split.is_empty() && route.split.iter().all(|share| share.weight == 0) {
         faults.push(Fault {
-            rule: Rule::DanglingService,
-            path: path("service"),
-            message: format!("there is no service {}: declare it first", route.service),
+            rule: Rule::Range,
+            path: path("split"),
+            message: "all weights are 0: give one part a weight".to_owned(),
+        });
+    }
+    if !(1..=MAX_ATTEMPTS).contains(&route.attempts) {
+        faults.push(Fault {
+            rule: Rule::Range,
+            path: path("attempts"),
+            message: format!("{} is outside 1 to {MAX_ATTEMPTS}", route.attempts),
         });
     }
     if !(1..=MAX_DEADLINE_MS).contains(&route.deadline_ms) {
--- a/crates/medlarpoint_routing/src/attempt.rs
+++ b/crates/medlarpoint_routing/src/attempt.rs
@@ -67,6 +67,8 @@
     pub tenant: Name,
     /// Weight of the tenant.
     pub weight: u16,
+    /// Rank of the call when slots are short; 0 goes first.
+    pub rank: u8,
     /// When the caller stops waiting, on the local clock.
     pub deadline: Duration,
     /// Idempotency key of a call that may not be repeated.
--- a/crates/medlarpoint_routing/src/call.rs
+++ b/crates/medlarpoint_routing/src/call.rs
@@ -12,8 +12,8 @@
 
 /// Times a call follows the claim of its key to another inbound proxy.
 const MAX_REDIRECTS: u32 = 3;
-/// Attempts of one call, hedges included.
-const MAX_ATTEMPTS: u32 = 5;
+/// Attempts of one call, those that no target was given included.
+const MAX_ATTEMPTS: u32 = 6;
 /// Longest wait between two questions after a silent attempt.
 const MAX_QUERY_GAP: Duration = Duration::from_secs(4);
 
@@ -24,6 +24,8 @@
     pub repeatable: bool,
     /// Carries an idempotency key.
     pub keyed: bool,
+    /// Most targets that may be given the call.
+    pub attempts: u32,
     /// This layer may send it again; false below another layer that may.
     pub may_retry: bool,
     /// When the caller stops waiting, on the local clock.
@@ -73,6 +75,8 @@
 pub enum Verdict {
     /// The target's answer begins.
     Answer,
+    /// The target's answer begins, and says that the target failed.
+    Failure,
     /// Not run.
     NotRun {
         /// Where it was refused.
@@ -149,12 +153,16 @@
     attempts: IndexMap<AttemptId, Attempt>,
     excluded: Vec<Vm>,
     sent: u32,
+    /// Targets that were, or may have been, given the call.
+    reached: u32,
     redirects: u32,
     hedged: bool,
     started: Duration,
     over: bool,
     /// An attempt whose outcome is unknown was given up for another.
     doubt: Option<Point>,
+    /// A target's failure, told to the caller if nothing better comes.
+    failure: Option<AttemptId>,
 }
 
 impl Call {
@@ -165,11 +173,13 @@
             attempts: IndexMap::new(),
             excluded: Vec::new(),
             sent: 0,
+            reached: 0,
             redirects: 0,
             hedged: false,
             started: now,
             over: false,
             doubt: None,
+            failure: None,
         };
         let actions = match pick.pick(now, &[]) {
             Some(choice) => call.send(now, choice, pick),
@@ -198,7 +208,7 @@
         if self.over {
             return Vec::new();
         }
-        let answered = matches!(event, Event::Answered(_, Verdict::Answer));
+        let answered = matches!(event, Event::Answered(_, Verdict::Answer | Verdict::Failure));
         if now >= self.terms.deadline && !answered {
             return self.on_wake(now, pick);
         }
@@ -224,8 +234,18 @@
         let Some(gone) = self.attempts.swap_remove(&attempt) else {
             return Vec::new();
         };
+        if reached(&verdict) {
+            self.reached += 1;
+        }
         match verdict {
             Verdict::Answer => Vec::new(),
+            Verdict::Failure => {
+                self.failure = Some(attempt);
+                if !self.terms.repeatable {
+                    return self.finish(Final::Answer(attempt));
+                }
+                self.again(now, Point::TargetFailed, &gone.choice.vm, pick)
+            }
             Verdict::NotRun { point, retry_after } => {
                 self.excluded.push(gone.choice.vm);
                 self.next(now, point, retry_after, pick)
@@ -276,11 +296,12 @@
         let choice = state.choice.clone();
         match known {
             Known::Unseen => {
-                let verdict = Verdict::NotRun { point: Point::Silent, retry_after: Duration::ZERO };
+                let verdict = Verdict::NotRun { point: Point::Fenced, retry_after: Duration::ZERO };
                 self.on_verdict(now, attempt, verdict, pick)
             }
             Known::Restarted | Known::Forgotten => {
                 self.attempts.swap_remove(&attempt);
+                self.reached += 1;
                 self.doubtful(now, Point::Silent, &choice.vm, pick)
             }
             Known::Running if !cut => self.ask_later(now, attempt),
@@ -301,6 +322,7 @@
             Known::Finished if !self.terms.repeatable => self.finish(Final::Ran),
             Known::Running | Known::Finished | Known::Unreachable => {
                 self.attempts.swap_remove(&attempt);
+                self.reached += 1;
                 let mut actions = vec![Action::Cancel(attempt)];
                 actions.extend(self.doubtful(now, Point::Silent, &choice.vm, pick));
                 actions
@@ -310,7 +332,9 @@
 
     fn on_wake<P: Pick>(&mut self, now: Duration, pick: &mut P) -> Vec<Action> {
         if now >= self.terms.deadline {
-            return if self.attempts.is_empty() && self.doubt.is_none() {
+            return if let Some(failure) = self.failure {
+                self.finish(Final::Answer(failure))
+            } else if self.attempts.is_empty() && self.doubt.is_none() {
                 self.finish_not_run(Point::Refused, Duration::ZERO)
             } else {
                 self.finish(Final::Unknown(Point::Deadline))
@@ -337,7 +361,8 @@
         self.hedged = true;
         let mut exclude = self.excluded.clone();
         exclude.extend(self.attempts.values().map(|attempt| attempt.choice.vm.clone()));
-        if self.attempts.len() != 1 || !pick.may_hedge() {
+        let room = self.reached + 1 < self.terms.attempts;
+        if self.attempts.len() != 1 || !room || !pick.may_hedge() {
             return Vec::new();
         }
         match pick.pick(now, &exclude) {
@@ -392,14 +417,22 @@
         if !self.attempts.is_empty() {
             return Vec::new();
         }
-        let may = self.terms.may_retry && self.sent < MAX_ATTEMPTS && now < self.terms.deadline;
+        let may = self.terms.may_retry
+            && self.sent < MAX_ATTEMPTS
+            && self.reached < self.terms.attempts
+            && now < self.terms.deadline;
+        // Where no target was given anything, another try costs no target work.
+        let free = !point.reached_target();
         if may
             && let Some(choice) = pick.pick(now, &self.excluded)
-            && pick.may_retry()
+            && (free || pick.may_retry())
         {
             return self.send(now, choice, pick);
         }
-        self.finish_not_run(point, retry_after)
+        match self.failure {
+            Some(failure) => self.finish(Final::Answer(failure)),
+            None => self.finish_not_run(point, retry_after),
+        }
     }
 
     fn follow<P: Pick>(&mut self, now: Duration, claim: &Claim, pick: &mut P) -> Vec<Action> {
@@ -445,5 +478,14 @@
     }
 }
 
+/// Tells whether a target was, or may have been, given the call.
+fn reached(verdict: &Verdict) -> bool {
+    match verdict {
+        Verdict::NotRun { point, .. } => point.reached_target(),
+        Verdict::Answer | Verdict::Failure | Verdict::Ran | Verdict::Unknown(_) => true,
+        Verdict::ClaimedBy(_) => false,
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/medlarpoint_routing/src/call/tests.rs
+++ b/crates/medlarpoint_routing/src/call/tests.rs
@@ -59,6 +59,7 @@
     Terms {
         repeatable,
         keyed,
+        attempts: 3,
         may_retry: true,
         deadline: DEADLINE,
         hedge_after: None,
@@ -122,13 +123,61 @@
     let mut chooser = Chooser::new(&["a", "b"]);
     chooser.retries = 0;
     let mut call = start(terms(true, false), &mut chooser);
-    let refused = Event::Answered(AttemptId(1), not_run(Point::Refused));
+    let refused = Event::Answered(AttemptId(1), not_run(Point::TargetShed));
     assert!(matches!(
         finished(&call.on(START, refused, &mut chooser)),
-        Some(Final::NotRun { point: Point::Refused, .. })
+        Some(Final::NotRun { point: Point::TargetShed, .. })
     ));
 }
 
+#[test]
+fn a_refusal_before_any_target_was_reached_costs_no_budget() {
+    let mut chooser = Chooser::new(&["a", "b"]);
+    chooser.retries = 0;
+    let mut call = start(terms(true, false), &mut chooser);
+    let refused = Event::Answered(AttemptId(1), not_run(Point::Refused));
+    assert_eq!(sent_to(&call.on(START, refused, &mut chooser)), Some("b"));
+}
+
+#[test]
+fn a_target_that_sheds_is_left_for_another_within_the_budget() {
+    let mut chooser = Chooser::new(&["a", "b", "c"]);
+    let mut call = start(Terms { attempts: 2, ..terms(false, false) }, &mut chooser);
+    let shed = |id| Event::Answered(AttemptId(id), not_run(Point::TargetShed));
+    assert_eq!(sent_to(&call.on(START, shed(1), &mut chooser)), Some("b"));
+    assert_eq!(chooser.retries, 9);
+    // Two targets were given the call, which is the most the route allows.
+    let told = finished(&call.on(START, shed(2), &mut chooser));
+    assert!(matches!(told, Some(Final::NotRun { point: Point::TargetShed, .. })));
+}
+
+#[test]
+fn a_failure_is_told_if_nothing_better_comes() {
+    let failed = |id| Event::Answered(AttemptId(id), Verdict::Failure);
+    let mut chooser = Chooser::new(&["a", "b"]);
+    let mut call = start(terms(false, false), &mut chooser);
+    let told = finished(&call.on(START, failed(1), &mut chooser));
+    assert_eq!(told, Some(Final::Answer(AttemptId(1))));
+    let mut chooser = Chooser::new(&["a", "b"]);
+    let mut call = start(terms(true, false), &mut chooser);
+    assert_eq!(sent_to(&call.on(START, failed(1), &mut chooser)), Some("b"));
+    let refused = Event::Answered(AttemptId(2), not_run(Point::Refused));
+    let told = finished(&call.on(START, refused, &mut chooser));
+    assert_eq!(told, Some(Final::Answer(AttemptId(1))));
+}
+
+#[test]
+fn a_garbled_answer_is_never_passed_on() {
+    for (repeatable, told) in [(false, Some(Final::Unknown(Point::TargetGarbled))), (true, None)] {
+        let mut chooser = Chooser::new(&["a", "b"]);
+        let mut call = start(terms(repeatable, false), &mut chooser);
+        let garbled = Event::Answered(AttemptId(1), Verdict::Unknown(Point::TargetGarbled));
+        let actions = call.on(START, garbled, &mut chooser);
+        assert_eq!(finished(&actions), told);
+        assert_eq!(sent_to(&actions), repeatable.then_some("b"));
+    }
+}
+
 #[test]
 fn only_one_layer_retries() {
     let mut chooser = Chooser::new(&["a", "b"]);
--- a/crates/medlarpoint_routing/src/fair.rs
+++ b/crates/medlarpoint_routing/src/fair.rs
@@ -75,6 +75,17 @@
         Some(queued.ticket)
     }
 
+    /// Takes the newest ticket of all.
+    pub(crate) fn pop_newest(&mut self) -> Option<Ticket> {
+        let start = |lane: &Lane| lane.tickets.back().map(|queued| queued.start);
+        let lanes = self.lanes.values_mut().filter_map(|lane| Some((start(lane)?, lane)));
+        let (_, lane) = lanes.max_by(|a, b| a.0.total_cmp(&b.0))?;
+        let queued = lane.tickets.pop_back()?;
+        lane.finish = queued.start;
+        self.len -= 1;
+        Some(queued.ticket)
+    }
+
     pub(crate) fn remove(&mut self, attempt: AttemptId) -> Option<Ticket> {
         for lane in self.lanes.values_mut() {
             let place = lane.tickets.iter().position(|q| q.ticket.attempt == attempt);
--- a/crates/medlarpoint_routing/src/fair/tests.rs
+++ b/crates/medlarpoint_routing/src/fair/tests.rs
@@ -13,6 +13,7 @@
         class: Class::Short,
         tenant: tenant.parse().unwrap(),
         weight,
+        rank: 1,
         deadline: Duration::MAX,
     }
 }
--- a/crates/medlarpoint_routing/src/gate.rs
+++ b/crates/medlarpoint_routing/src/gate.rs
@@ -5,7 +5,7 @@
 use medlarpoint_model::{Class, Name, Policy};
 
 use crate::AttemptId;
-use crate::fair::Fair;
+use crate::ranked::Ranked;
 
 /// Weight of the newest service time in the moving average.
 const SMOOTHING: f64 = 0.1;
@@ -23,6 +23,8 @@
     pub tenant: Name,
     /// Weight of the tenant.
     pub weight: u16,
+    /// Rank when slots are short; 0 goes first.
+    pub rank: u8,
     /// Latest time by which it must be done.
     pub deadline: Duration,
 }
@@ -75,7 +77,7 @@
 #[derive(Clone, Debug, Default)]
 struct Side {
     running: u32,
-    queue: Fair,
+    queue: Ranked,
     /// Mean service time in seconds; zero before the first.
     service_s: f64,
 }
@@ -132,7 +134,7 @@
             self.side_mut(class).running += 1;
             return (Entry::Run, None);
         }
-        let wait = self.wait(class, usable);
+        let wait = self.wait(class, usable, ticket.rank);
         if now + wait + service > ticket.deadline {
             return (Entry::Refused(Refusal::TooLate, self.retry_after(class, usable)), None);
         }
@@ -141,7 +143,7 @@
         if self.side(class).queue.len() >= limit {
             let retry_after = self.retry_after(class, usable);
             let queue = &mut self.side_mut(class).queue;
-            let Some(other) = queue.displace(&ticket.tenant, ticket.weight) else {
+            let Some(other) = queue.displace(&ticket) else {
                 return (Entry::Refused(Refusal::QueueFull, retry_after), None);
             };
             displaced = Some(Settled::Refused(other.attempt, Refusal::Displaced, retry_after));
@@ -168,6 +170,12 @@
         self.short.queue.remove(attempt).or_else(|| self.long.queue.remove(attempt)).is_some()
     }
 
+    /// Takes everything out that waits.
+    pub fn clear(&mut self) -> Vec<AttemptId> {
+        let sides = [&mut self.short, &mut self.long].into_iter();
+        sides.flat_map(|side| side.queue.extract(|_| true)).map(|t| t.attempt).collect()
+    }
+
     /// Refuses what can no longer be done in time and fills slots that a ramp
     /// has opened.
     pub fn sweep(&mut self, now: Duration) -> Vec<Settled> {
@@ -252,8 +260,9 @@
         Duration::from_secs_f64(self.side(class).service_s)
     }
 
-    fn wait(&self, class: Class, usable: u32) -> Duration {
-        let ahead = self.side(class).queue.len() as f64 + 1.0;
+    /// Expected wait of a call of `rank` that arrives now.
+    fn wait(&self, class: Class, usable: u32, rank: u8) -> Duration {
+        let ahead = self.side(class).queue.len_up_to(rank) as f64 + 1.0;
         let slots = match class {
             Class::Short => usable.saturating_sub(self.long.running).max(1),
             Class::Long => self.long_limit(usable),
@@ -263,7 +272,7 @@
 
     /// Time until the present queue has drained.
     fn retry_after(&self, class: Class, usable: u32) -> Duration {
-        self.wait(class, usable).max(MIN_RETRY_AFTER)
+        self.wait(class, usable, u8::MAX).max(MIN_RETRY_AFTER)
     }
 
     fn side(&self, class: Class) -> &Side {
--- a/crates/medlarpoint_routing/src/gate/tests.rs
+++ b/crates/medlarpoint_routing/src/gate/tests.rs
@@ -20,6 +20,7 @@
         class,
         tenant: "t".parse().unwrap(),
         weight: 1,
+        rank: 1,
         deadline: NOW + Duration::from_millis(deadline_ms),
     }
 }
--- a/crates/medlarpoint_routing/src/intake.rs
+++ b/crates/medlarpoint_routing/src/intake.rs
@@ -217,6 +217,7 @@
             class: head.class,
             tenant: head.tenant.clone(),
             weight: head.weight,
+            rank: head.rank,
             deadline: head.deadline,
         };
         let (entry, displaced) = self.gate.arrive(now, ticket);
@@ -331,6 +332,17 @@
         }
     }
 
+    /// Refuses everything that waits for a slot, so that it can be served
+    /// elsewhere.
+    pub fn bounce(&mut self, now: Duration) -> Vec<Action<A>> {
+        let waiting = self.gate.clear();
+        let refused = waiting.into_iter();
+        let refused = refused
+            .map(|attempt| Settled::Refused(attempt, Refusal::NoTarget, Duration::ZERO))
+            .collect();
+        self.settle_all(now, refused)
+    }
+
     /// Tells what is known of an attempt. One that has not been seen is fenced:
     /// it will not run should it still arrive.
     ///
--- a/crates/medlarpoint_routing/src/intake/tests.rs
+++ b/crates/medlarpoint_routing/src/intake/tests.rs
@@ -29,6 +29,7 @@
         class: Class::Short,
         tenant: "t".parse().unwrap(),
         weight: 1,
+        rank: 1,
         deadline: NOW + Duration::from_secs(4),
         key,
         once: Once::Store,
--- a/crates/medlarpoint_routing/src/lib.rs
+++ b/crates/medlarpoint_routing/src/lib.rs
@@ -16,6 +16,7 @@
 mod latency;
 mod outcome;
 mod picker;
+mod ranked;
 mod recent;
 mod table;
 mod window;
--- a/crates/medlarpoint_routing/src/outcome.rs
+++ b/crates/medlarpoint_routing/src/outcome.rs
@@ -60,6 +60,8 @@
     Sent,
     /// The connection went silent before an answer began.
     Silent,
+    /// The inbound proxy never saw the attempt and refuses it from now on.
+    Fenced,
     /// The answer broke off.
     HalfAnswer,
     /// The inbound proxy refused before handing anything over.
@@ -68,6 +70,12 @@
     Restarted,
     /// The inbound proxy could not connect to the target.
     TargetConnect,
+    /// The target refused the call and says that it did not run it.
+    TargetShed,
+    /// The target ran the call and failed.
+    TargetFailed,
+    /// The target answered with something that is not the call's answer.
+    TargetGarbled,
     /// The target was lost after bytes were handed over.
     TargetLost,
     /// The claim of the idempotency key could not be made.
@@ -87,12 +95,15 @@
             Self::NoTarget
             | Self::Connect
             | Self::Refused
+            | Self::Fenced
             | Self::Restarted
             | Self::TargetConnect
+            | Self::TargetShed
             | Self::ClaimFailed => Outcome::NotRun,
-            Self::HalfAnswer => Outcome::Ran,
+            Self::HalfAnswer | Self::TargetFailed => Outcome::Ran,
             Self::Sent
             | Self::Silent
+            | Self::TargetGarbled
             | Self::TargetLost
             | Self::ClaimOrphaned
             | Self::CallerBody
@@ -100,16 +111,41 @@
         }
     }
 
+    /// Tells whether a target was, or may have been, given the call.
+    pub fn reached_target(self) -> bool {
+        match self {
+            Self::NoTarget
+            | Self::Connect
+            | Self::Refused
+            | Self::Fenced
+            | Self::Restarted
+            | Self::TargetConnect
+            | Self::ClaimFailed => false,
+            Self::Sent
+            | Self::Silent
+            | Self::HalfAnswer
+            | Self::TargetShed
+            | Self::TargetFailed
+            | Self::TargetGarbled
+            | Self::TargetLost
+            | Self::ClaimOrphaned
+            | Self::CallerBody
+            | Self::Deadline => true,
+        }
+    }
+
     /// Returns whether the call may be sent again.
     pub fn retry(self) -> Retry {
         match self {
             Self::Connect
             | Self::Refused
+            | Self::Fenced
             | Self::Restarted
             | Self::TargetConnect
+            | Self::TargetShed
             | Self::ClaimFailed => Retry::Allowed,
             Self::Sent | Self::Silent => Retry::AfterQuery,
-            Self::TargetLost => Retry::IfRepeatable,
+            Self::TargetLost | Self::TargetFailed | Self::TargetGarbled => Retry::IfRepeatable,
             Self::NoTarget
             | Self::HalfAnswer
             | Self::ClaimOrphaned
@@ -128,9 +164,13 @@
             Self::HalfAnswer => {
                 "part of the answer has gone to the caller and cannot be taken back"
             }
+            Self::Fenced => "the attempt was never seen, and is refused should it still come",
             Self::Refused => "only an inbound proxy that handed nothing over refuses",
             Self::Restarted => "the attempt names the run it was meant for; this run never saw it",
             Self::TargetConnect => "no byte was handed to the target",
+            Self::TargetShed => "the target says that it did not begin",
+            Self::TargetFailed => "the target ran it and answered with a failure",
+            Self::TargetGarbled => "the answer is not the target's answer to this call",
             Self::TargetLost => "the target may have acted before it was lost",
             Self::ClaimFailed => "nothing is handed over without the claim",
             Self::ClaimOrphaned => "the holder may have run it before it went",
--- a/crates/medlarpoint_routing/src/table.rs
+++ b/crates/medlarpoint_routing/src/table.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderMap, Method};
 use indexmap::IndexMap;
-use medlarpoint_model::{Policy, Route, Snapshot};
+use medlarpoint_model::{Name, Policy, Route, Share, Snapshot};
 
 /// A route with the policy of its service.
 #[derive(Clone, Debug, PartialEq)]
@@ -15,6 +15,21 @@
     pub policy: Arc<Policy>,
 }
 
+impl Plan {
+    /// Returns the service of a call; `roll` is a random number below 1 that
+    /// chooses among the parts of a split.
+    pub fn service(&self, roll: f64) -> &Name {
+        let total: u64 = self.route.split.iter().map(|share| u64::from(share.weight)).sum();
+        let mut left = roll * total as f64;
+        let mut chosen = self.route.split.iter().filter(|share| share.weight > 0);
+        let holds = |share: &&Share| {
+            left -= f64::from(share.weight);
+            left < 0.0
+        };
+        chosen.find(holds).map_or(&self.route.service, |share| &share.service)
+    }
+}
+
 /// The routes of one version, indexed by host.
 ///
 /// Invariant: within a host, plans are in order of preference.
--- a/crates/medlarpoint_routing/src/table/tests.rs
+++ b/crates/medlarpoint_routing/src/table/tests.rs
@@ -51,3 +51,23 @@
     assert_eq!(find("desk.EXAMPLE:80", &Method::GET, "/x/y", None), "host");
     assert_eq!(find("desk.example", &Method::GET, "/y", None), "all");
 }
+
+#[test]
+fn a_split_follows_its_weights() {
+    let document = r#"
+        [[service]]
+        name = "a"
+        [[service]]
+        name = "b"
+        [[route]]
+        name = "split"
+        service = "a"
+        split = [{ service = "a", weight = 90 }, { service = "b", weight = 10 }]
+    "#;
+    let document = Document::parse(document, Format::Toml).unwrap();
+    let changes: Vec<Change> = document.resources.into_iter().map(Change::Put).collect();
+    let routes = Routes::compile(&Snapshot::empty().edit(&changes));
+    let plan = routes.find(None, &Method::GET, "/", &HeaderMap::new()).unwrap();
+    let chosen = (0..1_000).filter(|n| plan.service(f64::from(*n) / 1e3).as_str() == "b").count();
+    assert_eq!(chosen, 100);
+}
--- a/crates/medlarpoint_standin/src/store.rs
+++ b/crates/medlarpoint_standin/src/store.rs
@@ -4,12 +4,14 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use ::http::{HeaderValue, Method, Request, Response, StatusCode};
+use ::http::{Method, Request, Response, StatusCode};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use indexmap::IndexMap;
-use medlarpoint_store::{Expected, Item, Key, Refusal, Revision, Table};
+use medlarpoint_platform::store::wire::{
+    self, Call, Conflict, Events, Lease, Page, Row, Transaction, Written,
+};
+use medlarpoint_store::{Expected, Key, LeaseId, Refusal, Revision, Table};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde::{Deserialize, Serialize};
@@ -19,8 +21,8 @@
 
 use crate::http::{answer, read, serve};
 
-/// Header that carries the revision of a value.
-const REVISION_HEADER: &str = "store-revision";
+/// Values on a page of a listing.
+const PAGE_ITEMS: usize = 500;
 /// Longest wait of a watch.
 const MAX_WAIT: Duration = Duration::from_secs(60);
 
@@ -112,6 +114,19 @@
         *lock(&self.state.stats)
     }
 
+    /// Publishes the operator's document.
+    pub fn publish(&self, document: impl Into<Bytes>) {
+        let key = medlarpoint_platform::operator::key();
+        // Without a condition or a lease only the size could be refused.
+        let _ = lock(&self.state.table).swap(&key, Expected::Any, document.into(), None);
+        self.state.changed();
+    }
+
+    /// Forgets the history of changes, as a compaction would.
+    pub fn compact(&self) {
+        lock(&self.state.table).compact();
+    }
+
     /// Returns a copy of the content, as a backup would.
     pub fn backup(&self) -> Table {
         lock(&self.state.table).clone()
@@ -148,9 +163,6 @@
         }
         _ => {}
     }
-    let Some(key) = path.strip_prefix("/v1/kv/").and_then(|key| key.parse::<Key>().ok()) else {
-        return Some(answer(StatusCode::NOT_FOUND, "no such key"));
-    };
     let faults = *lock(&state.faults);
     if faults.silent {
         std::future::pending::<()>().await;
@@ -161,60 +173,94 @@
     if faults.down {
         return Some(answer(StatusCode::SERVICE_UNAVAILABLE, "down"));
     }
-    let query = parse_query(request.uri().query().unwrap_or_default());
-    match *request.method() {
-        Method::GET if query.contains_key("after") => Some(watch(&state, &key, &query).await),
-        Method::GET => {
-            lock(&state.stats).reads += 1;
-            let item = lock(&state.table).get(&key, now_ms(&state));
-            Some(match item {
-                Some(item) => with_value(&state, &item),
-                None => answer(StatusCode::NOT_FOUND, ""),
-            })
+    let (parts, body) = request.into_parts();
+    let body = read(body).await;
+    let query = parts.uri.query().unwrap_or_default();
+    let call = match Call::parse(&parts.method, &path, query, &body) {
+        Ok(call) => call,
+        Err(error) => return Some(answer(StatusCode::BAD_REQUEST, error.to_string())),
+    };
+    state.expire();
+    match call {
+        Call::Get { key } => Some(get(&state, &key)),
+        Call::Range { prefix, after } => Some(range(&state, &prefix, after.as_deref())),
+        Call::Watch { prefix, after, wait } => Some(watch(&state, &prefix, after, wait).await),
+        Call::Transaction(_) | Call::Grant { .. } | Call::Renew(_) | Call::Revoke(_) => {
+            write(&state, call, faults)
         }
-        Method::PUT | Method::DELETE => write(&state, &key, &query, request, faults).await,
-        _ => Some(answer(StatusCode::METHOD_NOT_ALLOWED, "")),
     }
 }
 
-fn now_ms(state: &State) -> u64 {
-    state.start.elapsed().as_millis() as u64
-}
+impl State {
+    fn now_ms(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64
+    }
+
+    fn expire(&self) {
+        if lock(&self.table).expire(self.now_ms()) {
+            self.changed();
+        }
+    }
+
+    fn changed(&self) {
+        self.written.send_modify(|count| *count += 1);
+    }
 
-fn parse_query(text: &str) -> IndexMap<String, String> {
-    let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.map(|(name, value)| (name.to_owned(), value.to_owned())).collect()
+    fn sent(&self, rows: &[Row]) {
+        lock(&self.stats).bytes_sent += rows.iter().map(|row| row.value.len() as u64).sum::<u64>();
+    }
 }
 
-fn with_revision(mut response: Response<Full<Bytes>>, revision: Revision) -> Response<Full<Bytes>> {
-    response.headers_mut().insert(REVISION_HEADER, HeaderValue::from(revision.0));
-    response
+fn get(state: &State, key: &Key) -> Response<Full<Bytes>> {
+    lock(&state.stats).reads += 1;
+    let table = lock(&state.table);
+    let Some(item) = table.get(key) else {
+        return wire::empty(StatusCode::NOT_FOUND);
+    };
+    let mut row = Row::of(key, &item, table.lease_of(key));
+    row.current = table.list("").current;
+    state.sent(std::slice::from_ref(&row));
+    wire::reply(StatusCode::OK, &row)
 }
 
-fn with_value(state: &State, item: &Item) -> Response<Full<Bytes>> {
-    lock(&state.stats).bytes_sent += item.value.len() as u64;
-    with_revision(answer(StatusCode::OK, item.value.clone()), item.revision)
+fn range(state: &State, prefix: &str, after: Option<&str>) -> Response<Full<Bytes>> {
+    lock(&state.stats).reads += 1;
+    let table = lock(&state.table);
+    let listing = table.list(prefix);
+    let later =
+        listing.items.iter().filter(|(key, _)| after.is_none_or(|after| key.as_str() > after));
+    let mut items: Vec<Row> =
+        later.map(|(key, item)| Row::of(key, item, table.lease_of(key))).collect();
+    let has_more = items.len() > PAGE_ITEMS;
+    items.truncate(PAGE_ITEMS);
+    state.sent(&items);
+    wire::reply(StatusCode::OK, &Page { items, has_more, current: listing.current })
 }
 
 async fn watch(
     state: &State,
-    key: &Key,
-    query: &IndexMap<String, String>,
+    prefix: &str,
+    after: Revision,
+    wait: Duration,
 ) -> Response<Full<Bytes>> {
     lock(&state.stats).watches += 1;
-    let after = query.get("after").and_then(|text| text.parse().ok()).map(Revision);
-    let wait = query.get("wait_ms").and_then(|text| text.parse().ok()).unwrap_or(0);
     let mut written = state.written.subscribe();
-    let deadline = tokio::time::Instant::now() + Duration::from_millis(wait).min(MAX_WAIT);
+    let deadline = tokio::time::Instant::now() + wait.min(MAX_WAIT);
     loop {
         written.mark_unchanged();
-        let item = lock(&state.table).get(key, now_ms(state));
-        if let Some(item) = item.filter(|item| Some(item.revision) != after) {
-            return with_value(state, &item);
+        let found = lock(&state.table).changes(prefix, after);
+        let Ok(found) = found else {
+            return wire::empty(StatusCode::GONE);
+        };
+        let events: Vec<Row> = found.changes.iter().map(Row::of_change).collect();
+        let events = Events { events, current: found.current };
+        if !events.events.is_empty() {
+            state.sent(&events.events);
+            return wire::reply(StatusCode::OK, &events);
         }
         let changed = tokio::time::timeout_at(deadline, written.changed()).await;
         if !matches!(changed, Ok(Ok(()))) {
-            return answer(StatusCode::NOT_MODIFIED, "");
+            return wire::reply(StatusCode::OK, &events);
         }
         if lock(&state.faults).down {
             return answer(StatusCode::SERVICE_UNAVAILABLE, "down");
@@ -222,50 +268,79 @@
     }
 }
 
-async fn write(
-    state: &State,
-    key: &Key,
-    query: &IndexMap<String, String>,
-    request: Request<Incoming>,
-    faults: Faults,
-) -> Option<Response<Full<Bytes>>> {
+fn write(state: &State, call: Call, faults: Faults) -> Option<Response<Full<Bytes>>> {
     lock(&state.stats).writes += 1;
-    let delete = request.method() == Method::DELETE;
-    let value = read(request.into_body()).await;
-    let expected = match query.get("expect").map(String::as_str) {
-        Some("absent") => Expected::Absent,
-        Some(text) => Expected::Revision(Revision(text.parse().unwrap_or(0))),
-        None => return Some(answer(StatusCode::BAD_REQUEST, "expect is missing")),
-    };
-    let chance = lock(&state.rng).random_range(0..100);
-    if chance < faults.lose_requests_percent {
+    let lost = |percent: u8| lock(&state.rng).random_range(0..100) < percent;
+    if lost(faults.lose_requests_percent) {
         return None;
     }
-    let lease = query.get("lease_ms").and_then(|text| text.parse().ok());
-    let now = now_ms(state);
-    let result = {
-        let mut table = lock(&state.table);
-        if delete {
-            table.delete(key, expected, now).map(|()| Revision::default())
-        } else {
-            table.swap(key, expected, value, lease, now)
+    let reply = match call {
+        Call::Transaction(transaction) => transact(state, &transaction),
+        Call::Grant { ttl } => {
+            let lease = lock(&state.table).grant(ttl.as_millis() as u64, state.now_ms());
+            wire::reply(StatusCode::OK, &Lease { lease: Some(lease), ttl_s: ttl.as_secs_f64() })
+        }
+        Call::Renew(lease) => {
+            let renewed = lock(&state.table).renew(lease, state.now_ms());
+            match renewed {
+                Ok(ttl_ms) => {
+                    let ttl_s = ttl_ms as f64 / 1e3;
+                    wire::reply(StatusCode::OK, &Lease { lease: None, ttl_s })
+                }
+                Err(_) => wire::empty(StatusCode::NOT_FOUND),
+            }
+        }
+        Call::Revoke(lease) => match lock(&state.table).revoke(lease) {
+            Ok(()) => wire::empty(StatusCode::OK),
+            Err(_) => wire::empty(StatusCode::NOT_FOUND),
+        },
+        Call::Get { .. } | Call::Range { .. } | Call::Watch { .. } => {
+            wire::empty(StatusCode::METHOD_NOT_ALLOWED)
         }
     };
-    if result.is_ok() {
-        state.written.send_modify(|count| *count += 1);
+    if reply.status() == StatusCode::OK {
+        state.changed();
     }
-    let chance = lock(&state.rng).random_range(0..100);
-    if chance < faults.lose_answers_percent {
+    if lost(faults.lose_answers_percent) {
         return None;
     }
-    Some(match result {
-        Ok(revision) => with_revision(answer(StatusCode::OK, ""), revision),
-        Err(Refusal::Conflict(current)) => {
-            let response = answer(StatusCode::PRECONDITION_FAILED, "");
-            current.map_or(response.clone(), |revision| with_revision(response, revision))
+    Some(reply)
+}
+
+/// Takes all writes of a transaction or none.
+fn transact(state: &State, transaction: &Transaction) -> Response<Full<Bytes>> {
+    let mut table = lock(&state.table);
+    for condition in &transaction.expected {
+        let Ok(key) = condition.key.parse::<Key>() else {
+            return answer(StatusCode::BAD_REQUEST, "no such key");
+        };
+        let expected = match condition.revision {
+            Revision(0) => Expected::Absent,
+            revision => Expected::Revision(revision),
+        };
+        if table.check(&key, expected).is_err() {
+            let row = table.get(&key).map(|item| Row::of(&key, &item, table.lease_of(&key)));
+            let row = row.unwrap_or(Row { key: condition.key.clone(), ..Row::default() });
+            return wire::reply(StatusCode::PRECONDITION_FAILED, &Conflict { items: vec![row] });
         }
-        Err(refusal @ Refusal::TooLarge) => {
-            answer(StatusCode::PAYLOAD_TOO_LARGE, refusal.to_string())
+    }
+    let mut next = table.clone();
+    let mut revision = Revision::default();
+    for put in &transaction.puts {
+        let Ok(key) = put.key.parse::<Key>() else {
+            return answer(StatusCode::BAD_REQUEST, "no such key");
+        };
+        let lease = (put.lease != LeaseId::default()).then_some(put.lease);
+        match next.swap(&key, Expected::Any, put.value.clone(), lease) {
+            Ok(written) => revision = written,
+            Err(Refusal::NoLease) => return wire::empty(StatusCode::NOT_FOUND),
+            Err(refusal) => return answer(StatusCode::PAYLOAD_TOO_LARGE, refusal.to_string()),
         }
-    })
+    }
+    for key in transaction.deletes.iter().filter_map(|key| key.parse::<Key>().ok()) {
+        // Without a condition there is no refusal.
+        let _ = next.delete(&key, Expected::Any);
+    }
+    *table = next;
+    wire::reply(StatusCode::OK, &Written { revision })
 }
--- a/crates/medlarpoint_store/src/error.rs
+++ b/crates/medlarpoint_store/src/error.rs
@@ -25,4 +25,10 @@
         /// Largest size the store takes.
         limit: usize,
     },
+    /// The changes asked for are no longer remembered.
+    #[error("changes this old are no longer remembered: read the values anew")]
+    Compacted,
+    /// Not written: the lease has ended.
+    #[error("the lease has ended")]
+    LeaseGone,
 }
--- a/crates/medlarpoint_store/src/store.rs
+++ b/crates/medlarpoint_store/src/store.rs
@@ -22,6 +22,13 @@
     }
 }
 
+/// Identity of a lease; zero stands for none on the wire.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct LeaseId(pub u64);
+
 /// A value with its revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Item {
@@ -31,9 +38,39 @@
     pub revision: Revision,
 }
 
+/// The values under a prefix.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Listing {
+    /// The values, in order of their keys.
+    pub items: Vec<(Key, Item)>,
+    /// Revision of the store before the first value was read; a watch that
+    /// begins there misses nothing.
+    pub current: Revision,
+}
+
+/// What happened to a key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// The key.
+    pub key: Key,
+    /// Its value, or `None` after it was removed.
+    pub item: Option<Item>,
+}
+
+/// The changes under a prefix.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Changes {
+    /// The changes, oldest first; empty when there was none in time.
+    pub changes: Vec<Change>,
+    /// Revision from which to watch on.
+    pub current: Revision,
+}
+
 /// Condition of a write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Expected {
+    /// Whatever the value is.
+    Any,
     /// The key has no value.
     Absent,
     /// The value was set by this revision.
@@ -45,14 +82,17 @@
     /// Reads a value.
     fn get(&self, key: &Key) -> impl Future<Output = Result<Option<Item>, Error>> + Send;
 
+    /// Reads the values whose keys begin with `prefix`.
+    fn list(&self, prefix: &Key) -> impl Future<Output = Result<Listing, Error>> + Send;
+
     /// Writes a value if the condition holds. With a lease the value vanishes
-    /// once the lease has run out.
+    /// once the lease has ended.
     fn swap(
         &self,
         key: &Key,
         expected: Expected,
         value: Bytes,
-        lease: Option<Duration>,
+        lease: Option<LeaseId>,
     ) -> impl Future<Output = Result<Revision, Error>> + Send;
 
     /// Removes a value if the condition holds.
@@ -62,12 +102,21 @@
         expected: Expected,
     ) -> impl Future<Output = Result<(), Error>> + Send;
 
-    /// Waits up to `wait` for a value set after revision `after`; `None` when
-    /// there was none.
+    /// Waits up to `wait` for changes after revision `after` to keys that begin
+    /// with `prefix`.
     fn watch(
         &self,
-        key: &Key,
+        prefix: &Key,
         after: Revision,
         wait: Duration,
-    ) -> impl Future<Output = Result<Option<Item>, Error>> + Send;
+    ) -> impl Future<Output = Result<Changes, Error>> + Send;
+
+    /// Creates a lease that ends unless it is renewed within `ttl`.
+    fn grant(&self, ttl: Duration) -> impl Future<Output = Result<LeaseId, Error>> + Send;
+
+    /// Renews a lease.
+    fn renew(&self, lease: LeaseId) -> impl Future<Output = Result<(), Error>> + Send;
+
+    /// Ends a lease with all its values.
+    fn revoke(&self, lease: LeaseId) -> impl Future<Output = Result<(), Error>> + Send;
 }
--- a/crates/medlarpoint_store/src/table.rs
+++ b/crates/medlarpoint_store/src/table.rs
@@ -1,25 +1,39 @@
 //! An in-memory store for tests and stand-ins.
 
+use std::collections::VecDeque;
+
 use bytes::Bytes;
 use indexmap::IndexMap;
 
-use crate::{Expected, Item, Key, Revision};
+use crate::{Change, Changes, Error, Expected, Item, Key, LeaseId, Listing, Revision};
 
 /// Largest value, in bytes.
-const MAX_VALUE_BYTES: usize = 1_000_000;
+const MAX_VALUE_BYTES: usize = 1_048_576;
+/// Changes remembered for watches.
+const MAX_HISTORY: usize = 4_096;
 
 /// Values, revisions and leases; time is passed in.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     slots: IndexMap<Key, Slot>,
+    leases: IndexMap<LeaseId, Lease>,
+    /// Changes after `forgotten`, oldest first.
+    history: VecDeque<(Revision, Change)>,
+    /// Changes up to this revision are no longer in `history`.
+    forgotten: u64,
     last: u64,
 }
 
 #[derive(Clone, Debug)]
 struct Slot {
     item: Item,
-    /// Time at which the lease runs out, in milliseconds; `None` never does.
-    expires_ms: Option<u64>,
+    lease: Option<LeaseId>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    ttl_ms: u64,
+    ends_ms: u64,
 }
 
 /// Why a write was refused.
@@ -31,57 +45,157 @@
     /// The value is too large.
     #[error("a value may hold {MAX_VALUE_BYTES} bytes")]
     TooLarge,
+    /// The lease has ended.
+    #[error("there is no such lease")]
+    NoLease,
+    /// The changes asked for are no longer remembered.
+    #[error("changes this old are forgotten")]
+    Forgotten,
+}
+
+impl From<Refusal> for Error {
+    fn from(refusal: Refusal) -> Self {
+        match refusal {
+            Refusal::Conflict(current) => Self::Conflict { current },
+            Refusal::TooLarge => {
+                Self::TooLarge { bytes: MAX_VALUE_BYTES + 1, limit: MAX_VALUE_BYTES }
+            }
+            Refusal::NoLease => Self::LeaseGone,
+            Refusal::Forgotten => Self::Compacted,
+        }
+    }
 }
 
 impl Table {
     /// Reads a value.
-    pub fn get(&self, key: &Key, now_ms: u64) -> Option<Item> {
-        let slot = self.slots.get(key)?;
-        let expired = slot.expires_ms.is_some_and(|at| at <= now_ms);
-        (!expired).then(|| slot.item.clone())
+    pub fn get(&self, key: &Key) -> Option<Item> {
+        self.slots.get(key).map(|slot| slot.item.clone())
+    }
+
+    /// Reads the values whose keys begin with `prefix`.
+    pub fn list(&self, prefix: &str) -> Listing {
+        let found = self.slots.iter().filter(|(key, _)| key.as_str().starts_with(prefix));
+        let mut items: Vec<(Key, Item)> =
+            found.map(|(key, slot)| (key.clone(), slot.item.clone())).collect();
+        items.sort_unstable_by(|a, b| a.0.cmp(&b.0));
+        Listing { items, current: Revision(self.last) }
+    }
+
+    /// Returns the lease of a value.
+    pub fn lease_of(&self, key: &Key) -> Option<LeaseId> {
+        self.slots.get(key)?.lease
     }
 
-    /// Writes a value if the condition holds; `lease_ms` limits its life.
+    /// Writes a value if the condition holds; it is removed when `lease` ends.
     pub fn swap(
         &mut self,
         key: &Key,
         expected: Expected,
         value: Bytes,
-        lease_ms: Option<u64>,
-        now_ms: u64,
+        lease: Option<LeaseId>,
     ) -> Result<Revision, Refusal> {
         if value.len() > MAX_VALUE_BYTES {
             return Err(Refusal::TooLarge);
         }
-        self.check(key, expected, now_ms)?;
+        self.check(key, expected)?;
+        if lease.is_some_and(|lease| !self.leases.contains_key(&lease)) {
+            return Err(Refusal::NoLease);
+        }
         self.last += 1;
         let revision = Revision(self.last);
-        let expires_ms = lease_ms.map(|lease| now_ms + lease);
-        let slot = Slot { item: Item { value, revision }, expires_ms };
-        self.slots.insert(key.clone(), slot);
+        let item = Item { value, revision };
+        self.slots.insert(key.clone(), Slot { item: item.clone(), lease });
+        self.remember(Change { key: key.clone(), item: Some(item) });
         Ok(revision)
     }
 
     /// Removes a value if the condition holds.
-    pub fn delete(&mut self, key: &Key, expected: Expected, now_ms: u64) -> Result<(), Refusal> {
-        self.check(key, expected, now_ms)?;
+    pub fn delete(&mut self, key: &Key, expected: Expected) -> Result<(), Refusal> {
+        self.check(key, expected)?;
+        self.remove(key);
+        Ok(())
+    }
+
+    /// Tells whether a write of `key` under `expected` would be taken.
+    pub fn check(&self, key: &Key, expected: Expected) -> Result<(), Refusal> {
+        let current = self.get(key).map(|item| item.revision);
+        let holds = match expected {
+            Expected::Any => true,
+            Expected::Absent => current.is_none(),
+            Expected::Revision(revision) => current == Some(revision),
+        };
+        if holds { Ok(()) } else { Err(Refusal::Conflict(current)) }
+    }
+
+    /// Returns the changes after `after` to keys that begin with `prefix`.
+    pub fn changes(&self, prefix: &str, after: Revision) -> Result<Changes, Refusal> {
+        if after.0 < self.forgotten {
+            return Err(Refusal::Forgotten);
+        }
+        let later = self.history.iter().filter(|(revision, _)| *revision > after);
+        let fitting = later.filter(|(_, change)| change.key.as_str().starts_with(prefix));
+        let changes = fitting.map(|(_, change)| change.clone()).collect();
+        Ok(Changes { changes, current: Revision(self.last) })
+    }
+
+    /// Forgets all changes so far; values stay.
+    pub fn compact(&mut self) {
+        self.history.clear();
+        self.forgotten = self.last;
+    }
+
+    /// Creates a lease.
+    pub fn grant(&mut self, ttl_ms: u64, now_ms: u64) -> LeaseId {
         self.last += 1;
-        self.slots.swap_remove(key);
+        let lease = LeaseId(self.last);
+        self.leases.insert(lease, Lease { ttl_ms, ends_ms: now_ms + ttl_ms });
+        lease
+    }
+
+    /// Renews a lease and returns its time to live, in milliseconds.
+    pub fn renew(&mut self, lease: LeaseId, now_ms: u64) -> Result<u64, Refusal> {
+        let lease = self.leases.get_mut(&lease).ok_or(Refusal::NoLease)?;
+        lease.ends_ms = now_ms + lease.ttl_ms;
+        Ok(lease.ttl_ms)
+    }
+
+    /// Ends a lease with its values.
+    pub fn revoke(&mut self, lease: LeaseId) -> Result<(), Refusal> {
+        self.leases.swap_remove(&lease).ok_or(Refusal::NoLease)?;
+        let bound = self.slots.iter().filter(|(_, slot)| slot.lease == Some(lease));
+        let keys: Vec<Key> = bound.map(|(key, _)| key.clone()).collect();
+        keys.iter().for_each(|key| self.remove(key));
         Ok(())
     }
 
-    /// Forgets values whose lease has run out.
-    pub fn collect(&mut self, now_ms: u64) {
-        self.slots.retain(|_, slot| slot.expires_ms.is_none_or(|at| at > now_ms));
+    /// Ends the leases that have run out. Returns whether any had.
+    pub fn expire(&mut self, now_ms: u64) -> bool {
+        let due = self.leases.iter().filter(|(_, lease)| lease.ends_ms <= now_ms);
+        let due: Vec<LeaseId> = due.map(|(id, _)| *id).collect();
+        for lease in &due {
+            // It is known, so there is no refusal.
+            let _ = self.revoke(*lease);
+        }
+        !due.is_empty()
     }
 
     /// Puts a backup back. Revisions go on rising: those of a store never repeat.
     pub fn restore(&mut self, backup: Self) {
-        let last = self.last.max(backup.last);
+        let last = self.last.max(backup.last) + 1;
+        let keys: Vec<Key> = self.slots.keys().cloned().collect();
         *self = Self { last, ..backup };
+        // Watches see every key that the backup changed or removed.
+        self.compact();
+        self.forgotten = last - 1;
+        let revision = Revision(last);
+        let back: Vec<Key> = self.slots.keys().cloned().chain(keys).collect();
+        for key in back {
+            let item = self.get(&key);
+            self.history.push_back((revision, Change { key, item }));
+        }
     }
 
-    /// Returns the number of values, expired ones included.
+    /// Returns the number of values.
     pub fn len(&self) -> usize {
         self.slots.len()
     }
@@ -91,13 +205,20 @@
         self.slots.is_empty()
     }
 
-    fn check(&self, key: &Key, expected: Expected, now_ms: u64) -> Result<(), Refusal> {
-        let current = self.get(key, now_ms).map(|item| item.revision);
-        let holds = match expected {
-            Expected::Absent => current.is_none(),
-            Expected::Revision(revision) => current == Some(revision),
-        };
-        if holds { Ok(()) } else { Err(Refusal::Conflict(current)) }
+    fn remove(&mut self, key: &Key) {
+        if self.slots.swap_remove(key).is_some() {
+            self.last += 1;
+            self.remember(Change { key: key.clone(), item: None });
+        }
+    }
+
+    fn remember(&mut self, change: Change) {
+        self.history.push_back((Revision(self.last), change));
+        while self.history.len() > MAX_HISTORY {
+            if let Some((revision, _)) = self.history.pop_front() {
+                self.forgotten = revision.0;
+            }
+        }
     }
 }
 
--- a/crates/medlarpoint_wire/src/datagram.rs
+++ b/crates/medlarpoint_wire/src/datagram.rs
@@ -62,6 +62,20 @@
         #[serde(rename = "t")]
         tip: Tip,
     },
+    /// Passes on that the store was read, so that everybody can tell how old
+    /// its configuration may be.
+    #[serde(rename = "f")]
+    Fresh {
+        /// The daemon that read the store.
+        #[serde(rename = "o")]
+        origin: Vm,
+        /// Version that the sender has in force.
+        #[serde(rename = "t")]
+        tip: Tip,
+        /// Time since the origin read the store, in milliseconds.
+        #[serde(rename = "a")]
+        age_ms: u64,
+    },
     /// Tells a reporter which version the sender has in force.
     #[serde(rename = "r")]
     Report {
--- a/crates/medlarpoint_wire/src/lib.rs
+++ b/crates/medlarpoint_wire/src/lib.rs
@@ -13,6 +13,6 @@
 pub use config::{Pull, Tip, Update};
 pub use datagram::{Body, Gossip};
 pub use frame::{DecodeError, EncodeError, Frame, MAX_DATAGRAM_BYTES, PROTOCOL, decode, encode};
-pub use record::{Announcement, Boot, Incarnation, Record, Stage, Status};
+pub use record::{Announcement, Boot, Incarnation, Proximity, Record, Stage, Status};
 pub use summary::{Lag, Summary};
 pub use sync::{Brief, SyncReply, SyncRequest, View};
--- a/crates/medlarpoint_wire/src/record.rs
+++ b/crates/medlarpoint_wire/src/record.rs
@@ -66,6 +66,21 @@
     pub stage: Stage,
 }
 
+/// Distance in time, in powers of two of a millisecond, so that members at the
+/// same place agree on it.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Proximity(pub u8);
+
+impl From<std::time::Duration> for Proximity {
+    fn from(round_trip: std::time::Duration) -> Self {
+        let bits = u128::BITS - round_trip.as_millis().leading_zeros();
+        Self(bits as u8)
+    }
+}
+
 /// A member of the fleet.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -96,6 +111,9 @@
     /// The target, once it has announced itself.
     #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
     pub target: Option<Announcement>,
+    /// How far the store is from here; `None` while it cannot be reached.
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub store: Option<Proximity>,
 }
 
 impl Record {
