Serve calls in time before late ones, and end planned stops cleanly

What changed: a stop has a last call, after which calls are refused as not run, and a last answer that bounds every call.

Ruled out: last in first out (served calls are in time too, but one that came a moment earlier starves without need).

--- a/crates/medlarpoint_daemon/src/bin/medlarpointd.rs
+++ b/crates/medlarpoint_daemon/src/bin/medlarpointd.rs
@@ -64,7 +64,8 @@
 fn run(path: &Path, settings: Settings) -> Result<(), Failure> {
     let log = Log::new(settings.options.log.format)?;
     let metrics = install_metrics()?;
-    runtime(settings.options.workers)?.block_on(async {
+    let runtime = runtime(settings.options.workers)?;
+    let result = runtime.block_on(async {
         let daemon = Daemon::start(settings, log.clone(), Some(metrics)).await?;
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
@@ -93,7 +94,10 @@
         }
         daemon.close().await;
         Ok(())
-    })
+    });
+    // What is still under way was told to end, and must not hold up the end.
+    runtime.shutdown_background();
+    result
 }
 
 /// One worker is the thread of the program itself, which saves switches
--- a/crates/medlarpoint_daemon/src/daemon.rs
+++ b/crates/medlarpoint_daemon/src/daemon.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Mutex, RwLock};
+use std::sync::{Mutex, OnceLock, RwLock};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -27,15 +27,20 @@
 use crate::pool::Pool;
 use crate::server::{self, Listener};
 use crate::settings::Settings;
-use crate::state::{Control, InForce, Live, Shared, lock};
+use crate::state::{Control, InForce, Live, Shared, Stop, lock};
 use crate::traffic::{Reading, Traffic};
 use crate::{api, local, peer, reader, registry, reload, startup, target, view};
 
 /// Time others need to learn that this daemon leaves: members by gossip, and
 /// callers by two questions a second apart whether it takes them.
 const LEAVE_TIME: Duration = Duration::from_millis(2_200);
+/// Time into a planned stop after which calls are refused: what comes later
+/// could not run for as long as its route allows.
+const LAST_CALL: Duration = Duration::from_millis(2_900);
 /// Time kept at the end of a planned stop for answers that are on their way.
-const LAST_ANSWERS: Duration = Duration::from_millis(1_000);
+const ANSWER_MARGIN: Duration = Duration::from_millis(150);
+/// Longest wait for the operators' API to close.
+const API_CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time between looks at the calls in flight during a planned stop.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 /// Largest request body of the operators' API, in bytes.
@@ -218,14 +223,18 @@
     pub async fn close(self) {
         let shared = Arc::clone(self.driver.shared());
         shared.emit(&Event::Stopping { unfinished: unfinished(&shared) });
-        shared.leaving.store(true, Ordering::Release);
+        let (now, whole) = (shared.now(), shared.settings.drain_timeout);
+        let last_call = now + LAST_CALL.min(whole / 2);
+        let last_answer = now + whole.saturating_sub(ANSWER_MARGIN);
+        // A second order to stop changes nothing.
+        let _ = shared.stop.set(Stop { last_call, last_answer });
         lock(&shared.intake).set_draining(true);
         self.driver.leave();
         let start = tokio::time::Instant::now();
         let deadline = start + shared.settings.drain_timeout;
         // The target goes on with what it has, and makes calls for it.
-        let last_in = deadline - LAST_ANSWERS.min(shared.settings.drain_timeout);
-        let leave = start + LEAVE_TIME;
+        let last_in = start + LAST_CALL.min(whole);
+        let leave = start + LEAVE_TIME.min(whole);
         wait_until(last_in, || {
             tokio::time::Instant::now() >= leave && lock(&shared.intake).unfinished() == 0
         })
@@ -249,8 +258,13 @@
 
     async fn stop(self, shared: &Shared) {
         shared.closed.send_replace(true);
-        if let Err(reason) = self.api.close().await {
-            shared.emit(&Event::ApiFailed { reason });
+        match tokio::time::timeout(API_CLOSE_TIMEOUT, self.api.close()).await {
+            Ok(Ok(())) => {}
+            Ok(Err(reason)) => shared.emit(&Event::ApiFailed { reason }),
+            Err(_) => {
+                let reason = "a request of an operator was cut off".to_owned();
+                shared.emit(&Event::ApiFailed { reason });
+            }
         }
     }
 }
@@ -324,13 +338,14 @@
         control: Mutex::new(control),
         in_force: ArcSwap::from_pointee(in_force),
         services: RwLock::new(IndexMap::new()),
+        patience: Mutex::default(),
         intake: Mutex::new(intake),
         waiters: Mutex::default(),
         target: Mutex::new(None),
         claim_lease: tokio::sync::Mutex::default(),
         pool: Arc::new(Pool::default()),
         ready: AtomicBool::new(false),
-        leaving: AtomicBool::new(false),
+        stop: OnceLock::new(),
         stopping: AtomicBool::new(false),
         outbound_calls: AtomicU64::new(0),
         connections: AtomicU64::new(0),
--- a/crates/medlarpoint_daemon/src/exchange.rs
+++ b/crates/medlarpoint_daemon/src/exchange.rs
@@ -93,6 +93,8 @@
     receiver: UnboundedReceiver<News>,
     running: HashMap<AttemptId, Running>,
     arrived: HashMap<AttemptId, Arrived>,
+    /// When the answer ceases to be of full use to the caller.
+    useful_until: Option<Duration>,
     /// The caller takes fractions of a second as advice on when to return.
     fractional: bool,
 }
@@ -139,10 +141,16 @@
             receiver,
             running,
             arrived,
+            useful_until: None,
             fractional: false,
         }
     }
 
+    /// Sets when the answer ceases to be of full use to the caller.
+    pub(crate) fn set_useful_until(&mut self, until: Option<Duration>) {
+        self.useful_until = until;
+    }
+
     /// Notes that the caller takes fractions of a second as advice.
     pub(crate) fn set_fractional(&mut self, fractional: bool) {
         self.fractional = fractional;
@@ -156,7 +164,7 @@
         let mut chooser = Chooser { service: &service, class, key: self.key };
         let (mut call, mut actions) = Call::start(now, self.terms, &mut chooser);
         loop {
-            if let Some(outcome) = self.perform(actions) {
+            if let Some(outcome) = self.perform(actions, call.may_spill()) {
                 return self.conclude(outcome);
             }
             let wake = self.shared.clock.instant(call.wake());
@@ -170,11 +178,11 @@
         }
     }
 
-    fn perform(&mut self, actions: Vec<CallAction>) -> Option<Final> {
+    fn perform(&mut self, actions: Vec<CallAction>, may_spill: bool) -> Option<Final> {
         let mut outcome = None;
         for action in actions {
             match action {
-                CallAction::Send(attempt, choice) => self.send(attempt, choice),
+                CallAction::Send(attempt, choice) => self.send(attempt, choice, may_spill),
                 CallAction::Query(attempt, choice) => self.query(attempt, &choice),
                 CallAction::Cancel(attempt) => self.cancel(attempt),
                 CallAction::Finish(end) => outcome = Some(end),
@@ -183,7 +191,7 @@
         outcome
     }
 
-    fn send(&mut self, attempt: AttemptId, choice: Choice) {
+    fn send(&mut self, attempt: AttemptId, choice: Choice, may_spill: bool) {
         let now = self.shared.now();
         let body = match &mut self.payload {
             Payload::Kept(bytes) => Some(Body::whole(bytes.clone())),
@@ -200,7 +208,10 @@
         };
         let class = self.plan.route.class;
         lock(&self.service.picker).sent(now, &choice.vm, attempt, class);
-        let request = self.request(attempt, &choice, body);
+        let mut request = self.request(attempt, &choice, body);
+        if may_spill {
+            request.headers_mut().insert(header::SPILL, HeaderValue::from_static("yes"));
+        }
         let repeatable = self.terms.repeatable;
         let (shared, sender) = (Arc::clone(&self.shared), self.sender.clone());
         let address = choice.address;
@@ -236,6 +247,11 @@
         header::set(headers, header::BOOT, &choice.boot.to_string());
         header::set(headers, header::ROUTE, self.plan.route.name.as_str());
         header::set(headers, header::DEADLINE_MS, &left.as_millis().to_string());
+        if let Some(until) = self.useful_until {
+            let now = self.shared.now();
+            let ms = until.saturating_sub(now).as_millis();
+            header::set(headers, header::USEFUL_MS, &ms.to_string());
+        }
         header::set(headers, header::RANK, &self.plan.route.priority.to_string());
         let retry = if self.terms.repeatable { inbound::REPEATABLE } else { "no" };
         header::set(headers, header::RETRY, retry);
--- a/crates/medlarpoint_daemon/src/header.rs
+++ b/crates/medlarpoint_daemon/src/header.rs
@@ -21,6 +21,11 @@
 pub(crate) const ROUTE: HeaderName = HeaderName::from_static("medlarpoint-route");
 /// Rank of the call when slots are short; 0 goes first.
 pub(crate) const RANK: HeaderName = HeaderName::from_static("medlarpoint-rank");
+/// Time for which the answer is of full use, in milliseconds; 0 if that has
+/// passed.
+pub(crate) const USEFUL_MS: HeaderName = HeaderName::from_static("medlarpoint-useful-ms");
+/// Set where a busy inbound proxy may refuse the call for another to serve it.
+pub(crate) const SPILL: HeaderName = HeaderName::from_static("medlarpoint-spill");
 /// Tenant of the call; set by the caller.
 pub(crate) const TENANT: HeaderName = HeaderName::from_static("medlarpoint-tenant");
 /// Time left for the call, in milliseconds; a caller may set it.
--- a/crates/medlarpoint_daemon/src/inbound.rs
+++ b/crates/medlarpoint_daemon/src/inbound.rs
@@ -301,6 +301,7 @@
     let text = headers.get(&header::IDEMPOTENCY_KEY).and_then(|v| v.to_str().ok());
     let key = text.filter(|_| !repeatable);
     let key = key.map(|text| IdempotencyKey::new(&route, tenant.as_str(), text));
+    let now = shared.now();
     let weight = lock(&shared.intake).gate_mut().policy().tenant_weights.get(&tenant).copied();
     Ok(Head {
         attempt,
@@ -309,12 +310,20 @@
         weight: weight.unwrap_or(1),
         tenant: tenant.0,
         rank: header::parse(headers, &header::RANK).unwrap_or(DEFAULT_RANK),
-        deadline: shared.now() + left,
+        kind: route,
+        useful_until: useful_until(headers, now),
+        may_spill: headers.contains_key(&header::SPILL),
+        deadline: now + left,
         key,
         once,
     })
 }
 
+/// Reads when the answer ceases to be of full use.
+fn useful_until(headers: &HeaderMap, now: Duration) -> Option<Duration> {
+    Some(now + header::millis(headers, &header::USEFUL_MS)?)
+}
+
 /// Value of the retry header between proxies on a route declared repeatable.
 pub(crate) const REPEATABLE: &str = "repeatable";
 
@@ -483,7 +492,15 @@
 /// Removes what is meant for this proxy.
 fn strip(headers: &mut HeaderMap) {
     header::strip_hop_by_hop(headers);
-    for name in [header::FLEET, header::ATTEMPT, header::BOOT, header::ROUTE, header::RANK] {
+    for name in [
+        header::FLEET,
+        header::ATTEMPT,
+        header::BOOT,
+        header::ROUTE,
+        header::RANK,
+        header::USEFUL_MS,
+        header::SPILL,
+    ] {
         headers.remove(name);
     }
     headers.insert(header::RETRY, http::HeaderValue::from_static("no"));
--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -43,12 +43,14 @@
     BadBody,
     #[error("the service has no target in reach")]
     NoService,
+    #[error("this daemon stops: another one serves the call")]
+    Stopping,
 }
 
 impl Unroutable {
     fn status(self) -> StatusCode {
         match self {
-            Self::Starting | Self::NoService => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Starting | Self::NoService | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::TooDeep => StatusCode::LOOP_DETECTED,
             Self::BodySize => StatusCode::PAYLOAD_TOO_LARGE,
@@ -124,6 +126,10 @@
     if !shared.is_ready() {
         return refuse(Unroutable::Starting);
     }
+    let stop = shared.stop_at();
+    if stop.is_some_and(|stop| shared.now() >= stop.last_call) {
+        return refuse(Unroutable::Stopping);
+    }
     let depth: u32 = header::parse(request.headers(), &header::DEPTH).unwrap_or(0);
     if depth >= MAX_DEPTH {
         return refuse(Unroutable::TooDeep);
@@ -146,6 +152,9 @@
     let own = Duration::from_millis(plan.route.deadline_ms);
     let asked = header::millis(&parts.headers, &header::DEADLINE_MS);
     let asked = asked.or(caller.time_left).unwrap_or(own);
+    let deadline = now + own.min(asked);
+    // Nothing is begun that could not be answered before the process ends.
+    let deadline = stop.map_or(deadline, |stop| deadline.min(stop.last_answer));
     let key = idempotency_key(&plan, &parts.headers);
     let replayable = matches!(payload, Payload::Kept(_));
     let terms = Terms {
@@ -153,14 +162,21 @@
         keyed: key.is_some(),
         attempts: plan.route.attempts,
         may_retry: parts.headers.get(&header::RETRY).is_none_or(|value| value != "no"),
-        deadline: now + own.min(asked),
+        deadline,
         hedge_after: hedge_after(&service, &plan, replayable),
         suspect_after: SUSPECT_AFTER,
     };
+    let waited = match caller.time_left {
+        Some(left) => lock(&shared.patience).waited(&plan.route.name, left),
+        None => Duration::ZERO,
+    };
+    let useful = plan.route.target_latency_ms.map(Duration::from_millis);
+    let useful_until = useful.map(|useful| now + useful.saturating_sub(waited));
     lock(&service.retries).earn(plan.policy.retry_budget_percent);
     lock(&service.hedges).earn(plan.policy.hedge_budget_percent);
     let shared = Arc::clone(shared);
     let mut exchange = Exchange::new(shared, service, plan, parts, payload, key, terms);
+    exchange.set_useful_until(useful_until);
     exchange.set_fractional(caller.id.is_some());
     exchange.run().await
 }
--- a/crates/medlarpoint_daemon/src/state.rs
+++ b/crates/medlarpoint_daemon/src/state.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -15,7 +15,7 @@
 use medlarpoint_model::{Name, Snapshot, Version};
 use medlarpoint_platform::bounds::Bounds;
 use medlarpoint_platform::store::Client;
-use medlarpoint_routing::{Budget, Hedge, Intake, Picker, Routes};
+use medlarpoint_routing::{Budget, Hedge, Intake, Patience, Picker, Routes};
 use medlarpoint_store::LeaseId;
 use medlarpoint_wire::{Record, Stage, Tip};
 use tokio::sync::{Notify, watch};
@@ -90,6 +90,15 @@
     pub(crate) silent: bool,
 }
 
+/// The times of a planned stop, on the local clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Stop {
+    /// Calls that come later are refused.
+    pub(crate) last_call: Duration,
+    /// Calls are answered by then.
+    pub(crate) last_answer: Duration,
+}
+
 /// Settings that may change while the daemon runs.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Live {
@@ -119,6 +128,7 @@
     pub(crate) control: Mutex<Control>,
     pub(crate) in_force: ArcSwap<InForce>,
     pub(crate) services: RwLock<IndexMap<Name, Arc<ServiceState>>>,
+    pub(crate) patience: Mutex<Patience>,
     pub(crate) intake: Mutex<Intake<Kept>>,
     pub(crate) waiters: Mutex<Waiters>,
     pub(crate) target: Mutex<Option<TargetState>>,
@@ -127,8 +137,8 @@
     pub(crate) claim_lease: tokio::sync::Mutex<Option<(LeaseId, Duration)>>,
     pub(crate) pool: Arc<Pool>,
     pub(crate) ready: AtomicBool,
-    /// A planned stop has begun: no new callers should come.
-    pub(crate) leaving: AtomicBool,
+    /// Set once a planned stop has begun: no new callers should come.
+    pub(crate) stop: OnceLock<Stop>,
     /// A planned stop lets no more calls in.
     pub(crate) stopping: AtomicBool,
     /// Calls from callers that are not answered yet.
@@ -173,7 +183,12 @@
 
     /// Tells whether new callers should come.
     pub(crate) fn takes_callers(&self) -> bool {
-        self.is_ready() && !self.leaving.load(Ordering::Acquire)
+        self.is_ready() && self.stop_at().is_none()
+    }
+
+    /// Returns the times of the planned stop, once it has begun.
+    pub(crate) fn stop_at(&self) -> Option<Stop> {
+        self.stop.get().copied()
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
--- a/crates/medlarpoint_daemon/src/target.rs
+++ b/crates/medlarpoint_daemon/src/target.rs
@@ -1,7 +1,6 @@
 //! The target of this VM: announcement, drain, health.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use medlarpoint_api::Target;
@@ -198,7 +197,7 @@
     let actions = {
         let now = shared.now();
         let mut intake = lock(&shared.intake);
-        intake.set_draining(draining || shared.leaving.load(Ordering::Acquire));
+        intake.set_draining(draining || shared.stop_at().is_some());
         intake.gate_mut().set_slots(if draining { state.slots } else { usable }, now);
         // What waits is better served elsewhere.
         if draining { intake.bounce(now) } else { Vec::new() }
--- a/crates/medlarpoint_routing/src/attempt.rs
+++ b/crates/medlarpoint_routing/src/attempt.rs
@@ -67,8 +67,14 @@
     pub tenant: Name,
     /// Weight of the tenant.
     pub weight: u16,
+    /// Route of the call: calls of one route take about as long.
+    pub kind: Name,
     /// Rank of the call when slots are short; 0 goes first.
     pub rank: u8,
+    /// When the answer ceases to be of full use, on the local clock.
+    pub useful_until: Option<Duration>,
+    /// It may be refused so that another target serves it in time.
+    pub may_spill: bool,
     /// When the caller stops waiting, on the local clock.
     pub deadline: Duration,
     /// Idempotency key of a call that may not be repeated.
--- a/crates/medlarpoint_routing/src/call.rs
+++ b/crates/medlarpoint_routing/src/call.rs
@@ -14,6 +14,8 @@
 const MAX_REDIRECTS: u32 = 3;
 /// Attempts of one call, those that no target was given included.
 const MAX_ATTEMPTS: u32 = 6;
+/// Busy targets that a call is offered to before it queues at one.
+const MAX_SPILLS: usize = 2;
 /// Longest wait between two questions after a silent attempt.
 const MAX_QUERY_GAP: Duration = Duration::from_secs(4);
 
@@ -152,6 +154,8 @@
     terms: Terms,
     attempts: IndexMap<AttemptId, Attempt>,
     excluded: Vec<Vm>,
+    /// Targets that were busy. They are asked again only to wait there.
+    busy: Vec<Vm>,
     sent: u32,
     /// Targets that were, or may have been, given the call.
     reached: u32,
@@ -172,6 +176,7 @@
             terms,
             attempts: IndexMap::new(),
             excluded: Vec::new(),
+            busy: Vec::new(),
             sent: 0,
             reached: 0,
             redirects: 0,
@@ -198,6 +203,11 @@
         asks.fold(at, Duration::min)
     }
 
+    /// Tells whether a busy target may refuse the next attempt.
+    pub fn may_spill(&self) -> bool {
+        self.terms.may_retry && self.busy.len() < MAX_SPILLS
+    }
+
     /// Tells whether the caller has been told.
     pub fn is_over(&self) -> bool {
         self.over
@@ -247,7 +257,8 @@
                 self.again(now, Point::TargetFailed, &gone.choice.vm, pick)
             }
             Verdict::NotRun { point, retry_after } => {
-                self.excluded.push(gone.choice.vm);
+                let others = if point == Point::Busy { &mut self.busy } else { &mut self.excluded };
+                others.push(gone.choice.vm);
                 self.next(now, point, retry_after, pick)
             }
             Verdict::Ran if self.terms.repeatable => {
@@ -424,7 +435,7 @@
         // Where no target was given anything, another try costs no target work.
         let free = !point.reached_target();
         if may
-            && let Some(choice) = pick.pick(now, &self.excluded)
+            && let Some(choice) = self.pick(now, pick)
             && (free || pick.may_retry())
         {
             return self.send(now, choice, pick);
@@ -435,6 +446,17 @@
         }
     }
 
+    /// Chooses a target that has not been busy, while the call may spill.
+    fn pick<P: Pick>(&self, now: Duration, pick: &mut P) -> Option<Choice> {
+        if self.may_spill() && !self.busy.is_empty() {
+            let exclude = [&self.excluded[..], &self.busy[..]].concat();
+            if let Some(choice) = pick.pick(now, &exclude) {
+                return Some(choice);
+            }
+        }
+        pick.pick(now, &self.excluded)
+    }
+
     fn follow<P: Pick>(&mut self, now: Duration, claim: &Claim, pick: &mut P) -> Vec<Action> {
         self.redirects += 1;
         let owner = pick.locate(now, &claim.vm).filter(|choice| choice.boot == claim.boot);
--- a/crates/medlarpoint_routing/src/call/tests.rs
+++ b/crates/medlarpoint_routing/src/call/tests.rs
@@ -151,6 +151,19 @@
     assert!(matches!(told, Some(Final::NotRun { point: Point::TargetShed, .. })));
 }
 
+#[test]
+fn a_busy_target_spills_to_others_and_then_queues_at_the_best() {
+    let mut chooser = Chooser::new(&["a", "b", "c"]);
+    let mut call = start(terms(false, false), &mut chooser);
+    assert!(call.may_spill());
+    let busy = |id| Event::Answered(AttemptId(id), not_run(Point::Busy));
+    assert_eq!(sent_to(&call.on(START, busy(1), &mut chooser)), Some("b"));
+    assert_eq!(sent_to(&call.on(START, busy(2), &mut chooser)), Some("a"));
+    assert!(!call.may_spill());
+    let refused = Event::Answered(AttemptId(3), not_run(Point::Refused));
+    assert_eq!(sent_to(&call.on(START, refused, &mut chooser)), Some("b"));
+}
+
 #[test]
 fn a_failure_is_told_if_nothing_better_comes() {
     let failed = |id| Event::Answered(AttemptId(id), Verdict::Failure);
--- a/crates/medlarpoint_routing/src/fair/tests.rs
+++ b/crates/medlarpoint_routing/src/fair/tests.rs
@@ -14,6 +14,9 @@
         tenant: tenant.parse().unwrap(),
         weight,
         rank: 1,
+        kind: "k".parse().expect("a valid literal"),
+        useful_until: None,
+        may_spill: false,
         deadline: Duration::MAX,
     }
 }
--- a/crates/medlarpoint_routing/src/gate.rs
+++ b/crates/medlarpoint_routing/src/gate.rs
@@ -1,14 +1,21 @@
 //! Admission to a target's slots.
+//!
+//! Under overload a plain queue makes every call late. Here calls that can
+//! still be answered in time go first; those that cannot take what is left.
 
 use std::time::Duration;
 
 use medlarpoint_model::{Class, Name, Policy};
 
 use crate::AttemptId;
-use crate::ranked::Ranked;
-
-/// Weight of the newest service time in the moving average.
-const SMOOTHING: f64 = 0.1;
+use crate::ranked::{Ranked, Turn};
+use crate::service::Service;
+
+/// Expected service times that must remain for a call to count as in time: work
+/// varies, and one that starts with less is mostly late.
+const MARGIN: f64 = 1.5;
+/// Time for which late calls get no slot after which no more of them wait.
+const LATE_PATIENCE: Duration = Duration::from_millis(400);
 /// Shortest advice on when to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -25,6 +32,12 @@
     pub weight: u16,
     /// Rank when slots are short; 0 goes first.
     pub rank: u8,
+    /// Calls of one kind take about as long.
+    pub kind: Name,
+    /// When its answer ceases to be of full use.
+    pub useful_until: Option<Duration>,
+    /// It may be refused so that another target serves it in time.
+    pub may_spill: bool,
     /// Latest time by which it must be done.
     pub deadline: Duration,
 }
@@ -33,6 +46,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Refusal {
+    /// It would be late here, and may be in time elsewhere.
+    Busy,
     /// The queue is full.
     QueueFull,
     /// It would not be done by its deadline.
@@ -78,8 +93,9 @@
 struct Side {
     running: u32,
     queue: Ranked,
-    /// Mean service time in seconds; zero before the first.
-    service_s: f64,
+    service: Service,
+    /// When a late call last got a slot, or late calls began to wait.
+    late_served: Duration,
 }
 
 /// Slots of one target with a queue per class.
@@ -126,7 +142,6 @@
             return (Entry::Refused(Refusal::NoTarget, MIN_RETRY_AFTER), None);
         }
         let class = ticket.class;
-        let service = self.service(class);
         if self.side(class).queue.len() == 0 && self.has_slot(class, usable) {
             if now >= ticket.deadline {
                 return (Entry::Refused(Refusal::TooLate, MIN_RETRY_AFTER), None);
@@ -134,33 +149,45 @@
             self.side_mut(class).running += 1;
             return (Entry::Run, None);
         }
-        let wait = self.wait(class, usable, ticket.rank);
-        if now + wait + service > ticket.deadline {
-            return (Entry::Refused(Refusal::TooLate, self.retry_after(class, usable)), None);
+        let retry_after = self.retry_after(class, usable);
+        let (turn, wait) = self.turn(now, usable, &ticket);
+        if turn.late && ticket.may_spill {
+            return (Entry::Refused(Refusal::Busy, retry_after), None);
+        }
+        let service = self.side(class).service.of(&ticket.kind);
+        let hopeless = turn.late && self.late_calls_starve(now, class);
+        if hopeless || now + wait + service > ticket.deadline {
+            return (Entry::Refused(Refusal::TooLate, retry_after), None);
         }
         let limit = usable as usize * usize::from(self.policy.queue_per_slot);
         let mut displaced = None;
         if self.side(class).queue.len() >= limit {
-            let retry_after = self.retry_after(class, usable);
             let queue = &mut self.side_mut(class).queue;
-            let Some(other) = queue.displace(&ticket) else {
+            let Some(other) = queue.displace(turn, &ticket) else {
                 return (Entry::Refused(Refusal::QueueFull, retry_after), None);
             };
             displaced = Some(Settled::Refused(other.attempt, Refusal::Displaced, retry_after));
         }
-        self.side_mut(class).queue.push(ticket);
+        let side = self.side_mut(class);
+        if turn.late && side.queue.late_len() == 0 {
+            side.late_served = now;
+        }
+        side.queue.push(turn, ticket);
         (Entry::Queued, displaced)
     }
 
     /// Frees a slot and returns who runs next, and who no longer can.
-    pub fn leave(&mut self, now: Duration, class: Class, took: Option<Duration>) -> Vec<Settled> {
+    pub fn leave(
+        &mut self,
+        now: Duration,
+        class: Class,
+        kind: &Name,
+        took: Option<Duration>,
+    ) -> Vec<Settled> {
         let side = self.side_mut(class);
         side.running = side.running.saturating_sub(1);
         if let Some(took) = took {
-            let sample = took.as_secs_f64();
-            let fresh = side.service_s == 0.0;
-            let weight = if fresh { 1.0 } else { SMOOTHING };
-            side.service_s += (sample - side.service_s) * weight;
+            side.service.observe(kind, took);
         }
         self.admit(now)
     }
@@ -183,8 +210,9 @@
         for class in [Class::Short, Class::Long] {
             let usable = self.usable(now);
             let retry_after = self.retry_after(class, usable);
-            let service = self.service(class);
-            let late = self.side_mut(class).queue.extract(|t| now + service > t.deadline);
+            let side = self.side_mut(class);
+            let service = &side.service;
+            let late = side.queue.extract(|t| now + service.of(&t.kind) > t.deadline);
             let refuse = |t: Ticket| Settled::Refused(t.attempt, Refusal::TooLate, retry_after);
             settled.extend(late.into_iter().map(refuse));
         }
@@ -206,15 +234,19 @@
         let usable = self.usable(now);
         while let Some(class) = self.next_class(usable) {
             let retry_after = self.retry_after(class, usable);
-            let service = self.service(class);
             let side = self.side_mut(class);
-            let Some(ticket) = side.queue.pop() else {
+            let service = &side.service;
+            let in_time = |ticket: &Ticket| is_in_time(now, service.of(&ticket.kind), ticket);
+            let Some((turn, ticket)) = side.queue.pop(in_time) else {
                 break;
             };
-            if now + service > ticket.deadline {
+            if now + side.service.of(&ticket.kind) > ticket.deadline {
                 settled.push(Settled::Refused(ticket.attempt, Refusal::TooLate, retry_after));
                 continue;
             }
+            if turn.late {
+                side.late_served = now;
+            }
             side.running += 1;
             settled.push(Settled::Run(ticket.attempt));
         }
@@ -256,23 +288,37 @@
         ((f64::from(self.slots) * share) as u32).clamp(1, self.slots)
     }
 
-    fn service(&self, class: Class) -> Duration {
-        Duration::from_secs_f64(self.side(class).service_s)
+    /// Returns the turn of a call that arrives now, and its expected wait.
+    fn turn(&self, now: Duration, usable: u32, ticket: &Ticket) -> (Turn, Duration) {
+        let early = Turn { rank: ticket.rank, late: false };
+        let wait = self.wait(ticket.class, usable, early);
+        let service = self.side(ticket.class).service.of(&ticket.kind);
+        if is_in_time(now + wait, service, ticket) {
+            return (early, wait);
+        }
+        let late = Turn { late: true, ..early };
+        (late, self.wait(ticket.class, usable, late))
+    }
+
+    /// Tells whether calls in time leave nothing to late ones.
+    fn late_calls_starve(&self, now: Duration, class: Class) -> bool {
+        let side = self.side(class);
+        side.queue.late_len() > 0 && now.saturating_sub(side.late_served) > LATE_PATIENCE
     }
 
-    /// Expected wait of a call of `rank` that arrives now.
-    fn wait(&self, class: Class, usable: u32, rank: u8) -> Duration {
-        let ahead = self.side(class).queue.len_up_to(rank) as f64 + 1.0;
+    /// Expected wait of a call that arrives now with `turn`.
+    fn wait(&self, class: Class, usable: u32, turn: Turn) -> Duration {
+        let ahead = self.side(class).queue.len_up_to(turn) as f64 + 1.0;
         let slots = match class {
             Class::Short => usable.saturating_sub(self.long.running).max(1),
             Class::Long => self.long_limit(usable),
         };
-        Duration::from_secs_f64(self.side(class).service_s * ahead / f64::from(slots))
+        self.side(class).service.mean().mul_f64(ahead / f64::from(slots))
     }
 
     /// Time until the present queue has drained.
     fn retry_after(&self, class: Class, usable: u32) -> Duration {
-        self.wait(class, usable, u8::MAX).max(MIN_RETRY_AFTER)
+        self.wait(class, usable, Turn::LAST).max(MIN_RETRY_AFTER)
     }
 
     fn side(&self, class: Class) -> &Side {
@@ -290,5 +336,11 @@
     }
 }
 
+/// Tells whether a call that starts at `start` is answered while that is of
+/// full use.
+fn is_in_time(start: Duration, service: Duration, ticket: &Ticket) -> bool {
+    ticket.useful_until.is_none_or(|until| start + service.mul_f64(MARGIN) <= until)
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/medlarpoint_routing/src/intake.rs
+++ b/crates/medlarpoint_routing/src/intake.rs
@@ -217,14 +217,17 @@
             class: head.class,
             tenant: head.tenant.clone(),
             weight: head.weight,
+            kind: head.kind.clone(),
             rank: head.rank,
+            useful_until: head.useful_until,
+            may_spill: head.may_spill,
             deadline: head.deadline,
         };
         let (entry, displaced) = self.gate.arrive(now, ticket);
         let mut actions = self.settle_all(now, displaced.into_iter().collect());
         match entry {
             Entry::Refused(refusal, retry_after) => {
-                actions.push(not_run(attempt, Point::Refused, Some(refusal), retry_after));
+                actions.push(not_run(attempt, point_of(refusal), Some(refusal), retry_after));
             }
             Entry::Queued => self.enter(head, Phase::Queued),
             Entry::Run => {
@@ -385,7 +388,7 @@
                     };
                     let waiting = job.head.key.map(|key| self.window.release(key));
                     for one in waiting.into_iter().flatten().chain([attempt]) {
-                        actions.push(not_run(one, Point::Refused, Some(refusal), retry_after));
+                        actions.push(not_run(one, point_of(refusal), Some(refusal), retry_after));
                     }
                 }
             }
@@ -441,11 +444,20 @@
             Phase::Running { since } => Some(now.saturating_sub(since)),
             Phase::Queued | Phase::Claiming => None,
         };
-        let settled = self.gate.leave(now, job.head.class, took);
+        let settled = self.gate.leave(now, job.head.class, &job.head.kind, took);
         self.settle_all(now, settled)
     }
 }
 
+fn point_of(refusal: Refusal) -> Point {
+    match refusal {
+        Refusal::Busy => Point::Busy,
+        Refusal::QueueFull | Refusal::TooLate | Refusal::Displaced | Refusal::NoTarget => {
+            Point::Refused
+        }
+    }
+}
+
 fn reply<A>(attempt: AttemptId, reply: Reply<A>) -> Action<A> {
     Action::Reply { attempt, reply }
 }
--- a/crates/medlarpoint_routing/src/outcome.rs
+++ b/crates/medlarpoint_routing/src/outcome.rs
@@ -60,6 +60,9 @@
     Sent,
     /// The connection went silent before an answer began.
     Silent,
+    /// The inbound proxy has no slot in time for the answer to be of full use,
+    /// and another target may have.
+    Busy,
     /// The inbound proxy never saw the attempt and refuses it from now on.
     Fenced,
     /// The answer broke off.
@@ -95,6 +98,7 @@
             Self::NoTarget
             | Self::Connect
             | Self::Refused
+            | Self::Busy
             | Self::Fenced
             | Self::Restarted
             | Self::TargetConnect
@@ -117,6 +121,7 @@
             Self::NoTarget
             | Self::Connect
             | Self::Refused
+            | Self::Busy
             | Self::Fenced
             | Self::Restarted
             | Self::TargetConnect
@@ -139,6 +144,7 @@
         match self {
             Self::Connect
             | Self::Refused
+            | Self::Busy
             | Self::Fenced
             | Self::Restarted
             | Self::TargetConnect
@@ -164,6 +170,7 @@
             Self::HalfAnswer => {
                 "part of the answer has gone to the caller and cannot be taken back"
             }
+            Self::Busy => "nothing was handed over, and another target may be free",
             Self::Fenced => "the attempt was never seen, and is refused should it still come",
             Self::Refused => "only an inbound proxy that handed nothing over refuses",
             Self::Restarted => "the attempt names the run it was meant for; this run never saw it",
--- a/crates/medlarpoint_routing/src/ranked/tests.rs
+++ b/crates/medlarpoint_routing/src/ranked/tests.rs
@@ -4,34 +4,60 @@
 
 use medlarpoint_model::Class;
 
-use super::Ranked;
+use super::{Ranked, Turn};
 use crate::{AttemptId, Ticket};
 
-fn ticket(id: u128, rank: u8) -> Ticket {
-    let tenant = "t".parse().unwrap();
-    let deadline = Duration::from_secs(1);
-    Ticket { attempt: AttemptId(id), class: Class::Short, tenant, weight: 1, rank, deadline }
+fn ticket(id: u128) -> Ticket {
+    Ticket {
+        attempt: AttemptId(id),
+        class: Class::Short,
+        tenant: "t".parse().unwrap(),
+        weight: 1,
+        rank: 1,
+        kind: "k".parse().unwrap(),
+        useful_until: None,
+        may_spill: false,
+        deadline: Duration::from_secs(1),
+    }
+}
+
+fn early(rank: u8) -> Turn {
+    Turn { rank, late: false }
 }
 
 #[test]
 fn urgent_ranks_go_first_and_each_in_its_order() {
     let mut queue = Ranked::default();
     for (id, rank) in [(1, 2), (2, 1), (3, 2), (4, 0)] {
-        queue.push(ticket(id, rank));
+        queue.push(early(rank), ticket(id));
     }
-    assert_eq!((queue.len(), queue.len_up_to(1)), (4, 2));
-    let order: Vec<u128> = std::iter::from_fn(|| queue.pop()).map(|t| t.attempt.0).collect();
+    assert_eq!((queue.len(), queue.len_up_to(early(1))), (4, 2));
+    let next = || queue.pop(|_| true).map(|(_, ticket)| ticket.attempt.0);
+    let order: Vec<u128> = std::iter::from_fn(next).collect();
     assert_eq!(order, [4, 2, 1, 3]);
 }
 
 #[test]
-fn the_newest_of_the_least_urgent_gives_way() {
+fn one_that_waited_too_long_lets_those_in_time_pass() {
+    let mut queue = Ranked::default();
+    for id in [1, 2, 3] {
+        queue.push(early(1), ticket(id));
+    }
+    let in_time = |ticket: &Ticket| ticket.attempt.0 > 1;
+    let order: Vec<(u128, bool)> = std::iter::from_fn(|| queue.pop(in_time))
+        .map(|(turn, ticket)| (ticket.attempt.0, turn.late))
+        .collect();
+    assert_eq!(order, [(2, false), (3, false), (1, true)]);
+}
+
+#[test]
+fn the_newest_of_the_last_turn_gives_way() {
     let mut queue = Ranked::default();
     for (id, rank) in [(1, 1), (2, 2), (3, 2)] {
-        queue.push(ticket(id, rank));
+        queue.push(early(rank), ticket(id));
     }
-    assert_eq!(queue.displace(&ticket(9, 1)).map(|t| t.attempt.0), Some(3));
-    assert_eq!(queue.displace(&ticket(9, 3)), None);
-    assert_eq!(queue.remove(AttemptId(2)).map(|t| t.rank), Some(2));
+    assert_eq!(queue.displace(early(1), &ticket(9)).map(|t| t.attempt.0), Some(3));
+    assert_eq!(queue.displace(early(3), &ticket(9)), None);
+    assert!(queue.remove(AttemptId(2)).is_some());
     assert_eq!(queue.len(), 1);
 }
