Make no attempt without time for it, and let the target serve on while callers leave

Cause: under overload calls waited 1.2 s, were refused with 0.1 s left, went round four targets in vain and ended as unknown at their deadline; a daemon that stops left its target idle from the first moment.

--- a/crates/medlarpoint_daemon/src/daemon.rs
+++ b/crates/medlarpoint_daemon/src/daemon.rs
@@ -35,6 +35,8 @@
 /// Time others need to learn that this daemon leaves: members by gossip, and
 /// callers by two questions a second apart whether it takes them.
 const LEAVE_TIME: Duration = Duration::from_millis(2_200);
+/// Time into a planned stop in which the target still takes calls of others.
+const SERVE_TIME: Duration = Duration::from_millis(1_200);
 /// Time into a planned stop after which calls are refused: what comes later
 /// could not run for as long as its route allows.
 const LAST_CALL: Duration = Duration::from_millis(2_900);
@@ -229,9 +231,11 @@
         let last_answer = now + whole.saturating_sub(ANSWER_MARGIN);
         // A second order to stop changes nothing.
         let _ = shared.stop.set(Stop { last_call, last_answer });
+        let start = tokio::time::Instant::now();
+        // Callers need a while to go elsewhere, and so long the target serves.
+        tokio::time::sleep(SERVE_TIME.min(whole / 4)).await;
         lock(&shared.intake).set_draining(true);
         self.driver.leave();
-        let start = tokio::time::Instant::now();
         let deadline = start + shared.settings.drain_timeout;
         // The target goes on with what it has, and makes calls for it.
         let last_in = start + LAST_CALL.min(whole);
--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -171,6 +171,7 @@
         attempts: plan.route.attempts,
         may_retry: parts.headers.get(&header::RETRY).is_none_or(|value| value != "no"),
         deadline,
+        least_time: lock(&service.picker).usual(&plan.route.name).unwrap_or_default() / 2,
         hedge_after: hedge_after(&service, &plan, replayable),
         suspect_after: SUSPECT_AFTER,
     };
--- a/crates/medlarpoint_routing/src/call.rs
+++ b/crates/medlarpoint_routing/src/call.rs
@@ -32,6 +32,8 @@
     pub may_retry: bool,
     /// When the caller stops waiting, on the local clock.
     pub deadline: Duration,
+    /// Time that an attempt needs at the least; with less left, none is made.
+    pub least_time: Duration,
     /// Wait before a second attempt; `None` never hedges.
     pub hedge_after: Option<Duration>,
     /// Silence after which the inbound proxy is asked about an attempt.
@@ -433,7 +435,7 @@
         let may = self.terms.may_retry
             && self.sent < MAX_ATTEMPTS
             && self.reached < self.terms.attempts
-            && now < self.terms.deadline;
+            && now + self.terms.least_time < self.terms.deadline;
         // Where no target was given anything, another try costs no target work.
         let free = !point.reached_target();
         if may
--- a/crates/medlarpoint_routing/src/call/tests.rs
+++ b/crates/medlarpoint_routing/src/call/tests.rs
@@ -65,6 +65,7 @@
         attempts: 3,
         may_retry: true,
         deadline: DEADLINE,
+        least_time: Duration::ZERO,
         hedge_after: None,
         suspect_after: Duration::from_millis(500),
     }
@@ -169,6 +170,17 @@
     assert_eq!(sent_to(&call.on(START, refused, &mut chooser)), Some("a"));
 }
 
+#[test]
+fn too_little_time_for_another_attempt_ends_the_call_as_not_run() {
+    let mut chooser = Chooser::new(&["a", "b"]);
+    let least_time = Duration::from_millis(100);
+    let mut call = start(Terms { least_time, ..terms(true, false) }, &mut chooser);
+    let late = DEADLINE - Duration::from_millis(90);
+    let refused = Event::Answered(AttemptId(1), not_run(Point::Refused));
+    let told = finished(&call.on(late, refused, &mut chooser));
+    assert!(matches!(told, Some(Final::NotRun { point: Point::Refused, .. })));
+}
+
 #[test]
 fn a_failure_is_told_if_nothing_better_comes() {
     let failed = |id| Event::Answered(AttemptId(id), Verdict::Failure);
--- a/crates/medlarpoint_routing/src/gate.rs
+++ b/crates/medlarpoint_routing/src/gate.rs
@@ -14,8 +14,9 @@
 /// Expected service times that must remain for a call to count as in time: work
 /// varies, and one that starts with less is mostly late.
 const MARGIN: f64 = 1.5;
-/// Waiting time of the first late call after which no more of them wait.
-const LATE_PATIENCE: Duration = Duration::from_millis(400);
+/// Longest wait of a late call. Those that cannot be served by then are told
+/// when to come back, and no more of them wait.
+const LATE_PATIENCE: Duration = Duration::from_millis(800);
 /// Shortest advice on when to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -211,7 +212,10 @@
             let retry_after = self.retry_after(class, usable);
             let side = self.side_mut(class);
             let service = &side.service;
-            let late = side.queue.extract(|t| now + service.of(&t.kind) > t.deadline);
+            let late = side.queue.extract(|ticket| {
+                let expected = service.of(&ticket.kind);
+                now + expected > ticket.deadline || has_waited_in_vain(now, expected, ticket)
+            });
             let refuse = |t: Ticket| Settled::Refused(t.attempt, Refusal::TooLate, retry_after);
             settled.extend(late.into_iter().map(refuse));
         }
@@ -338,6 +342,16 @@
     }
 }
 
+/// Tells whether a call that is late already has waited for longer than late
+/// calls should.
+fn has_waited_in_vain(now: Duration, service: Duration, ticket: &Ticket) -> bool {
+    let Some(useful_until) = ticket.useful_until else {
+        return false;
+    };
+    let late_since = ticket.since.max(useful_until.saturating_sub(service.mul_f64(MARGIN)));
+    now.saturating_sub(late_since) > LATE_PATIENCE
+}
+
 /// Tells whether a call that starts at `start` is answered while that is of
 /// full use.
 fn is_in_time(start: Duration, service: Duration, ticket: &Ticket) -> bool {
--- a/crates/medlarpoint_routing/src/gate/tests.rs
+++ b/crates/medlarpoint_routing/src/gate/tests.rs
@@ -4,7 +4,7 @@
 
 use medlarpoint_model::{Class, Name, Policy};
 
-use super::{Entry, Gate, Refusal, Settled, Ticket};
+use super::{Entry, Gate, LATE_PATIENCE, Refusal, Settled, Ticket};
 use crate::AttemptId;
 
 const NOW: Duration = Duration::from_secs(100);
@@ -138,7 +138,7 @@
 fn late_calls_are_refused_at_once_while_those_in_time_take_every_slot() {
     let mut gate = busy();
     assert_eq!(gate.arrive(NOW, aimed(2, 0)).0, Entry::Queued);
-    let later = NOW + Duration::from_millis(500);
+    let later = NOW + LATE_PATIENCE + Duration::from_millis(100);
     let (entry, _) = gate.arrive(later, aimed(3, 0));
     assert!(matches!(entry, Entry::Refused(Refusal::TooLate, _)));
     // More urgent calls do not wait for it.
--- a/crates/medlarpoint_routing/src/picker.rs
+++ b/crates/medlarpoint_routing/src/picker.rs
@@ -215,6 +215,12 @@
         chosen.map(|candidate| candidate.endpoint.choice.clone())
     }
 
+    /// Returns the service time of a kind at a usual target, once known.
+    pub fn usual(&self, kind: &Name) -> Option<Duration> {
+        let all: Vec<&Candidate> = self.targets.values().collect();
+        known_service(&all, kind)
+    }
+
     /// Chooses the target that a key leads to. Proxies with the same view of
     /// the targets choose the same one.
     pub fn pick_keyed(&self, key: IdempotencyKey, exclude: &[Vm]) -> Option<Choice> {
@@ -301,12 +307,16 @@
     if good.len() * 2 < all.len() { all.to_vec() } else { good }
 }
 
-/// Returns the median service time of the targets that have answered a kind.
 fn usual_service(candidates: &[&Candidate], kind: &Name) -> Duration {
+    known_service(candidates, kind).unwrap_or(UNKNOWN_SERVICE)
+}
+
+/// Returns the median service time of the targets that have answered a kind.
+fn known_service(candidates: &[&Candidate], kind: &Name) -> Option<Duration> {
     let mut known: Vec<Duration> = candidates.iter().filter_map(|c| c.learnt(kind)).collect();
     known.sort_unstable();
     let middle = known.len().saturating_sub(1) / 2;
-    known.get(middle).copied().unwrap_or(UNKNOWN_SERVICE)
+    known.get(middle).copied()
 }
 
 #[cfg(test)]
