--- a/crates/medlarpoint_cli/src/client.rs
+++ b/crates/medlarpoint_cli/src/client.rs
@@ -68,6 +68,7 @@
             "invalid" | "too-large" | "bad-topic" => Exit::Invalid,
             "store-unavailable" | "store-behind" => Exit::StoreUnavailable,
             "unknown-outcome" => Exit::Unknown,
+            "owned-by-operator" => Exit::Owned,
             "not-found" => Exit::NotFound,
             "unauthorized" | "forbidden" => Exit::Unauthorized,
             _ if *status == StatusCode::BAD_REQUEST => Exit::Invalid,
--- a/crates/medlarpoint_cli/src/exit.rs
+++ b/crates/medlarpoint_cli/src/exit.rs
@@ -38,6 +38,9 @@
     /// The token is missing or wrong.
     #[strum(message = "the token is missing or wrong")]
     Unauthorized = 9,
+    /// The configuration is owned by the platform's operator.
+    #[strum(message = "the configuration is owned by the platform's operator")]
+    Owned = 10,
 }
 
 impl From<Exit> for ExitCode {
--- a/crates/medlarpoint_daemon/src/api.rs
+++ b/crates/medlarpoint_daemon/src/api.rs
@@ -109,6 +109,7 @@
                 Refusal::StoreBehind { .. } => unavailable("store-behind", message),
                 Refusal::Corrupt(_) => unavailable("store-corrupt", message),
             },
+            CommitError::Owned => client_error("owned-by-operator", conflict, message),
             CommitError::Unknown(_) => unavailable("unknown-outcome", message),
         }
     }
--- a/crates/medlarpoint_daemon/src/commit.rs
+++ b/crates/medlarpoint_daemon/src/commit.rs
@@ -13,6 +13,7 @@
 use crate::control::Driver;
 use crate::event::Event;
 use crate::reader;
+use crate::settings::Source;
 use crate::state::{Shared, lock};
 
 /// Longest time a commit may take.
@@ -25,6 +26,11 @@
 pub(crate) enum CommitError {
     #[error(transparent)]
     Refused(#[from] Refusal),
+    #[error(
+        "the platform's operator owns this configuration and publishes it in the store: \
+         change it there (`source = \"operator\"` in the settings)"
+    )]
+    Owned,
     #[error("it is not known whether commit {0} took effect: resend it with the same id")]
     Unknown(CommitId),
 }
@@ -51,6 +57,9 @@
 /// Commits a change and puts it into force here.
 pub(crate) async fn commit(driver: &Driver, request: &Commit) -> Result<Committed, CommitError> {
     let shared = driver.shared();
+    if shared.settings.options.source == Source::Operator {
+        return Err(CommitError::Owned);
+    }
     let author = request.author.clone();
     let outcome = attempt(shared, proposal(request)).await;
     match outcome {
--- a/crates/medlarpoint_daemon/src/daemon.rs
+++ b/crates/medlarpoint_daemon/src/daemon.rs
@@ -78,6 +78,10 @@
     pub peer: SocketAddr,
     /// For operators.
     pub api: SocketAddr,
+    /// For the platform's question whether callers are served.
+    pub ready: Option<SocketAddr>,
+    /// For the reports of the target.
+    pub control: Option<SocketAddr>,
 }
 
 /// A running daemon. Dropped without [`Daemon::close`], it stops at once.
@@ -149,6 +153,8 @@
             inbound: local(&inbound, wanted.inbound),
             peer: local(&peer, wanted.peer),
             api: wanted.api,
+            ready: ready.as_ref().and_then(|listener| listener.local_addr().ok()),
+            control: control.as_ref().and_then(|listener| listener.local_addr().ok()),
         };
         let shared = Arc::new(share(settings, log, addresses));
         let driver = Driver::new(Arc::clone(&shared), socket);
--- a/crates/medlarpoint_daemon/src/reader.rs
+++ b/crates/medlarpoint_daemon/src/reader.rs
@@ -13,7 +13,7 @@
 use medlarpoint_membership::readers;
 use medlarpoint_model::Snapshot;
 use medlarpoint_platform::operator;
-use medlarpoint_store::{Error, Item, Key, Revision, Store};
+use medlarpoint_store::{Age, Error, Item, Key, Revision, Store};
 
 use crate::clock::{jitter, wall_ms};
 use crate::control::{Driver, ROLE_HOLDERS};
@@ -140,7 +140,7 @@
     async fn read(&mut self, driver: &Driver) -> Duration {
         let shared = driver.shared();
         let key = source_key(shared);
-        let listing = match shared.store.list(&key).await {
+        let listing = match shared.store.list(&key, Age::Latest).await {
             Ok(listing) => listing,
             Err(error) => return self.failed(shared, &error),
         };
--- a/crates/medlarpoint_daemon/src/registry.rs
+++ b/crates/medlarpoint_daemon/src/registry.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use medlarpoint_membership::{Role, rank};
-use medlarpoint_store::{Error, Expected, Key, LeaseId, Store};
+use medlarpoint_store::{Age, Error, Expected, Key, LeaseId, Store};
 use medlarpoint_wire::{Proximity, Record};
 use rand::seq::SliceRandom;
 
@@ -134,8 +134,8 @@
 }
 
 /// Reads the entries of all daemons.
-pub(crate) async fn list(shared: &Shared) -> Result<Vec<Record>, Error> {
-    let listed = shared.store.list(&prefix()).await;
+pub(crate) async fn list(shared: &Shared, age: Age) -> Result<Vec<Record>, Error> {
+    let listed = shared.store.list(&prefix(), age).await;
     note_store(shared, listed.as_ref().err());
     let me = &shared.settings.options.vm;
     let mut records = Vec::new();
@@ -156,7 +156,7 @@
 /// that started at the same time, or either side of a link that was cut.
 async fn join_strangers(shared: &Shared) {
     // The next look tries again.
-    let Ok(records) = list(shared).await else {
+    let Ok(records) = list(shared, Age::MaybeOld).await else {
         return;
     };
     let mut strangers: Vec<SocketAddr> = {
--- a/crates/medlarpoint_daemon/src/startup.rs
+++ b/crates/medlarpoint_daemon/src/startup.rs
@@ -6,8 +6,10 @@
 
 use medlarpoint_config::Distance;
 use medlarpoint_model::Version;
+use medlarpoint_store::Age;
 use medlarpoint_wire::Record;
 use rand::seq::SliceRandom;
+use tokio::task::JoinSet;
 
 use crate::clock::jitter;
 use crate::control::Driver;
@@ -20,6 +22,8 @@
 const PEERS_ASKED: usize = 3;
 /// Peers tried until that many have answered.
 const PEERS_TRIED: usize = 5;
+/// Longest wait for members to answer.
+const MEET_TIMEOUT: Duration = Duration::from_millis(400);
 /// First wait between tries.
 const FIRST_WAIT: Duration = Duration::from_millis(200);
 /// Longest wait between tries.
@@ -74,21 +78,16 @@
 
 async fn round(driver: &Driver) -> Found {
     let shared = driver.shared();
-    let listed = registry::list(shared).await;
+    let listed = registry::list(shared, Age::Latest).await;
     let mut addresses = shared.settings.options.seeds.clone();
     if let Ok(records) = &listed {
         addresses.extend(by_distance(shared, records));
     }
     let me = lock(&shared.control).detector.me().peer;
     addresses.retain(|address| *address != me);
-    let mut reached = 0;
-    for address in addresses.into_iter().take(PEERS_TRIED) {
-        reached += usize::from(peer::sync(shared, address, Vec::new()).await.is_ok());
-        if reached >= PEERS_ASKED {
-            break;
-        }
-    }
-    let asked = reached > 0 && ask_peers(driver).await;
+    addresses.truncate(PEERS_TRIED);
+    let reached = meet(shared, addresses).await;
+    let asked = ask_peers(driver, &reached).await;
     if asked && is_enough(shared, Found::Peers) {
         return Found::Peers;
     }
@@ -104,25 +103,42 @@
     records.into_iter().map(|record| record.peer).collect()
 }
 
-/// Pulls from a few live peers until none has anything newer.
-async fn ask_peers(driver: &Driver) -> bool {
+/// Exchanges tables with some members at once and returns those that answered
+/// in time.
+async fn meet(shared: &Arc<Shared>, addresses: Vec<SocketAddr>) -> Vec<SocketAddr> {
+    let mut exchanges = JoinSet::new();
+    for address in addresses {
+        let shared = Arc::clone(shared);
+        exchanges.spawn(async move {
+            let met = peer::sync(&shared, address, Vec::new()).await;
+            met.ok().map(|()| address)
+        });
+    }
+    let mut reached = Vec::new();
+    let deadline = tokio::time::Instant::now() + MEET_TIMEOUT;
+    while let Ok(Some(met)) = tokio::time::timeout_at(deadline, exchanges.join_next()).await {
+        // A panic there was told by the runtime, and the member counts as silent.
+        reached.extend(met.ok().flatten());
+        if reached.len() >= PEERS_ASKED {
+            break;
+        }
+    }
+    // The others go on; what they bring is taken when it comes.
+    exchanges.detach_all();
+    reached
+}
+
+/// Pulls from members that have just answered until none has anything newer.
+async fn ask_peers(driver: &Driver, reached: &[SocketAddr]) -> bool {
     let shared = driver.shared();
     let peers: Vec<(SocketAddr, Distance, String)> = {
         let control = lock(&shared.control);
-        let me = &control.detector.me().vm;
-        let others = control.detector.table().live().filter(|record| record.vm != *me);
-        let mut others: Vec<_> = others
-            .map(|record| (record.peer, shared.distance(record), record.vm.to_string()))
-            .collect();
-        others.shuffle(&mut rand::rng());
-        others.sort_by_key(|(_, distance, _)| *distance);
-        others
+        let known = control.detector.table().live();
+        let met = known.filter(|record| reached.contains(&record.peer));
+        met.map(|record| (record.peer, shared.distance(record), record.vm.to_string())).collect()
     };
     let mut answered = 0;
-    for (address, distance, vm) in peers.into_iter().take(PEERS_ASKED * 2) {
-        if answered >= PEERS_ASKED {
-            break;
-        }
+    for (address, distance, vm) in peers {
         let Ok(update) = peer::pull(shared, address, distance, shared.tip()).await else {
             continue;
         };
--- a/crates/medlarpoint_routing/src/call/tests.rs
+++ b/crates/medlarpoint_routing/src/call/tests.rs
@@ -175,7 +175,7 @@
     let mut chooser = Chooser::new(&["a", "b"]);
     let least_time = Duration::from_millis(100);
     let mut call = start(Terms { least_time, ..terms(true, false) }, &mut chooser);
-    let late = DEADLINE - Duration::from_millis(90);
+    let late = DEADLINE.saturating_sub(Duration::from_millis(90));
     let refused = Event::Answered(AttemptId(1), not_run(Point::Refused));
     let told = finished(&call.on(late, refused, &mut chooser));
     assert!(matches!(told, Some(Final::NotRun { point: Point::Refused, .. })));
--- a/crates/medlarpoint_standin/src/store.rs
+++ b/crates/medlarpoint_standin/src/store.rs
@@ -183,7 +183,9 @@
     state.expire();
     match call {
         Call::Get { key } => Some(get(&state, &key)),
-        Call::Range { prefix, after } => Some(range(&state, &prefix, after.as_deref())),
+        Call::Range { prefix, after, maybe_old: _ } => {
+            Some(range(&state, &prefix, after.as_deref()))
+        }
         Call::Watch { prefix, after, wait } => Some(watch(&state, &prefix, after, wait).await),
         Call::Transaction(_) | Call::Grant { .. } | Call::Renew(_) | Call::Revoke(_) => {
             write(&state, call, faults)
--- a/crates/medlarpoint_store/src/lib.rs
+++ b/crates/medlarpoint_store/src/lib.rs
@@ -10,5 +10,5 @@
 
 pub use error::Error;
 pub use key::{InvalidKey, Key};
-pub use store::{Change, Changes, Expected, Item, LeaseId, Listing, Revision, Store};
+pub use store::{Age, Change, Changes, Expected, Item, LeaseId, Listing, Revision, Store};
 pub use table::{Refusal, Table};
--- a/crates/medlarpoint_store/src/store.rs
+++ b/crates/medlarpoint_store/src/store.rs
@@ -66,6 +66,15 @@
     pub current: Revision,
 }
 
+/// How old what is read may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Age {
+    /// Nothing that was written before is missing.
+    Latest,
+    /// It may be seconds old, which costs the store less.
+    MaybeOld,
+}
+
 /// Condition of a write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Expected {
@@ -83,7 +92,7 @@
     fn get(&self, key: &Key) -> impl Future<Output = Result<Option<Item>, Error>> + Send;
 
     /// Reads the values whose keys begin with `prefix`.
-    fn list(&self, prefix: &Key) -> impl Future<Output = Result<Listing, Error>> + Send;
+    fn list(&self, prefix: &Key, age: Age) -> impl Future<Output = Result<Listing, Error>> + Send;
 
     /// Writes a value if the condition holds. With a lease the value vanishes
     /// once the lease has ended.
