Pass a reading of the store on once

Cause: a daemon passed on how long ago the store was read whenever that looked newer than what it knew. Found by the new line on control traffic (MP3004).

What changed: a reading carries its origin's run and number and is passed on once. A peer that answers that it has nothing newer is not asked again until it is heard of again.

Ruled out: pulls in a loop (0 pulls in the same ten seconds).

--- a/crates/medlarpoint_config/src/spread.rs
+++ b/crates/medlarpoint_config/src/spread.rs
@@ -125,10 +125,13 @@
         if self.flight.as_ref().is_some_and(|flight| flight.peer == *peer) {
             self.flight = None;
         }
-        if success {
+        let progressed =
+            self.candidates.get(peer).is_none_or(|c| c.tip.version <= self.have.version);
+        if success && progressed {
             self.failures = 0;
             return;
         }
+        // It does not have what it was heard to have, or cannot be asked.
         // The peer is heard of again with its next probe.
         self.candidates.swap_remove(peer);
         let wait = BACKOFF.saturating_mul(1 << self.failures.min(8)).min(MAX_BACKOFF);
@@ -156,3 +159,6 @@
         (Distance::Remote, Order::Rest) => REGION_DELAY,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/medlarpoint_daemon/src/control.rs
+++ b/crates/medlarpoint_daemon/src/control.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use medlarpoint_config::{Distance, Offer, Order, Rejection};
-use medlarpoint_membership::{Action, Event as MemberEvent, Role, rank, ranked, readers, wave};
+use medlarpoint_membership::{
+    Action, Event as MemberEvent, Reading as StoreReading, Role, rank, ranked, readers, wave,
+};
 use medlarpoint_model::{DataCentre, Delta, Region, Vm};
 use medlarpoint_wire::{Body, Frame, Gossip, PROTOCOL, Record, Tip, Update, encode};
 use rand::seq::IndexedRandom;
@@ -15,10 +17,13 @@
 use crate::clock::wall_ms;
 use crate::event::Event;
 use crate::state::{Control, InForce, Shared, lock};
+use crate::traffic::Reading;
 use crate::{peer, services};
 
 /// Time between ticks of the control plane.
 const TICK: Duration = Duration::from_millis(100);
+/// Time between lines about control traffic.
+const TRAFFIC_PERIOD: Duration = Duration::from_secs(10);
 /// Members of the own data centre told at once of a new version.
 const ANNOUNCE_FANOUT: usize = 6;
 /// Members that hold a role.
@@ -69,7 +74,12 @@
     pub(crate) async fn tick(self: Arc<Self>) {
         let mut timer = tokio::time::interval(TICK);
         timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut told = (self.shared.now(), self.shared.traffic.read());
         loop {
+            let now = self.shared.now();
+            if now.saturating_sub(told.0) >= TRAFFIC_PERIOD {
+                self.tell_traffic(&mut told, now);
+            }
             tokio::select! {
                 _ = timer.tick() => {}
                 () = self.shared.wait_closed() => return,
@@ -88,6 +98,13 @@
         }
     }
 
+    fn tell_traffic(&self, told: &mut (Duration, Reading), now: Duration) {
+        let reading = self.shared.traffic.read();
+        let Reading { near, region, remote, messages, pulls, .. } = reading.since(told.1);
+        *told = (now, reading);
+        self.shared.emit(&Event::ControlTraffic { near, region, remote, messages, pulls });
+    }
+
     /// Pulls newer versions from peers until the daemon closes.
     pub(crate) async fn pull(self: Arc<Self>) {
         loop {
@@ -226,25 +243,34 @@
     pub(crate) fn store_read(&self) {
         let mut control = lock(&self.shared.control);
         let now = self.shared.now();
-        control.freshness.confirmed(now, Duration::ZERO);
-        let me = control.detector.me().vm.clone();
-        if readers(control.detector.table().live(), ROLE_HOLDERS).contains(&&me) {
-            self.pass_on(&control, &me, 0);
+        let seq = control.freshness.read(now);
+        let me = control.detector.me();
+        if !readers(control.detector.table().live(), ROLE_HOLDERS).contains(&&me.vm) {
+            return;
         }
+        let (origin, boot) = (me.vm.clone(), me.boot);
+        self.pass_on(&control, &StoreReading { origin, boot, seq, age: Duration::ZERO });
     }
 
     /// Passes on to this daemon's part of the members that the store was read.
-    fn pass_on(&self, control: &Control, origin: &Vm, age_ms: u64) {
+    fn pass_on(&self, control: &Control, reading: &StoreReading) {
         let tip = control.replica.tip();
         let table = control.detector.table();
         let me = &control.detector.me().vm;
         let members = table.live().map(|record| &record.vm);
-        let next: Vec<SocketAddr> = wave::next(origin, me, members)
+        let next: Vec<SocketAddr> = wave::next(&reading.origin, me, members)
             .into_iter()
             .filter_map(|vm| table.get(vm).map(|member| member.record.peer))
             .collect();
         for to in next {
-            self.send(control, to, Body::Fresh { origin: origin.clone(), tip, age_ms });
+            let body = Body::Fresh {
+                origin: reading.origin.clone(),
+                boot: reading.boot,
+                seq: reading.seq,
+                tip,
+                age_ms: reading.age.as_millis() as u64,
+            };
+            self.send(control, to, body);
         }
     }
 
@@ -287,12 +313,14 @@
                     self.send(&control, from, Body::Receipt { version: *version });
                     self.summarize(&mut control);
                 }
-                Body::Fresh { origin, tip, age_ms } => {
+                Body::Fresh { origin, boot, seq, tip, age_ms } => {
                     let age = Duration::from_millis(*age_ms);
+                    let reading =
+                        StoreReading { origin: origin.clone(), boot: *boot, seq: *seq, age };
                     let gossip = Gossip { tip: *tip, ..Gossip::default() };
                     self.heard(&mut control, &frame.from, &gossip);
-                    if control.freshness.confirmed(now, age) {
-                        self.pass_on(&control, origin, *age_ms);
+                    if control.freshness.heard(now, &reading) {
+                        self.pass_on(&control, &reading);
                     }
                 }
                 Body::Receipt { version } => control.reporter.confirmed(&frame.from, *version),
--- a/crates/medlarpoint_daemon/src/event.rs
+++ b/crates/medlarpoint_daemon/src/event.rs
@@ -133,6 +133,9 @@
     /// A table exchange with a peer failed.
     3003 Warn SyncFailed { peer: SocketAddr, reason: String } => "table exchange with {peer} failed: {reason}";
 
+    /// Control traffic sent in the last ten seconds, by how far it goes.
+    3004 Info ControlTraffic { near: u64, region: u64, remote: u64, messages: u64, pulls: u64 } => "control traffic in ten seconds: {near} B near, {region} B in the region, {remote} B to other regions, {messages} messages, {pulls} pulls";
+
     /// The store does not answer. Writes are refused; reads and calls go on.
     4001 Warn StoreDown { reason: String } => "the store is not available: {reason}";
     /// The store answers again.
--- a/crates/medlarpoint_daemon/src/peer.rs
+++ b/crates/medlarpoint_daemon/src/peer.rs
@@ -120,6 +120,7 @@
     distance: Distance,
     have: Tip,
 ) -> Result<Update, RequestError> {
+    shared.traffic.pulled();
     let message = encode(&Pull { have })?;
     let bytes = request(shared, to, distance, "/config", message).await?;
     shared.traffic.fetched(distance, bytes.len() + HEAD_BYTES);
--- a/crates/medlarpoint_daemon/src/traffic.rs
+++ b/crates/medlarpoint_daemon/src/traffic.rs
@@ -14,6 +14,7 @@
     remote: AtomicU64,
     remote_config: AtomicU64,
     messages: AtomicU64,
+    pulls: AtomicU64,
 }
 
 /// A reading of [`Traffic`].
@@ -31,6 +32,23 @@
     pub remote_config: u64,
     /// Messages sent.
     pub messages: u64,
+    /// Requests for configuration made.
+    pub pulls: u64,
+}
+
+impl Reading {
+    /// Returns what came after an earlier reading.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Self {
+        Self {
+            near: self.near - earlier.near,
+            region: self.region - earlier.region,
+            remote: self.remote - earlier.remote,
+            remote_config: self.remote_config - earlier.remote_config,
+            messages: self.messages - earlier.messages,
+            pulls: self.pulls - earlier.pulls,
+        }
+    }
 }
 
 impl Traffic {
@@ -51,6 +69,11 @@
         }
     }
 
+    /// Counts a request for configuration.
+    pub(crate) fn pulled(&self) {
+        self.pulls.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Reads the counters.
     pub fn read(&self) -> Reading {
         Reading {
@@ -59,6 +82,7 @@
             remote: self.remote.load(Ordering::Relaxed),
             remote_config: self.remote_config.load(Ordering::Relaxed),
             messages: self.messages.load(Ordering::Relaxed),
+            pulls: self.pulls.load(Ordering::Relaxed),
         }
     }
 }
--- a/crates/medlarpoint_membership/src/lib.rs
+++ b/crates/medlarpoint_membership/src/lib.rs
@@ -18,7 +18,7 @@
 pub mod wave;
 
 pub use detector::{Action, Detector, Event};
-pub use freshness::Freshness;
+pub use freshness::{Freshness, Reading};
 pub use member::Member;
 pub use occupant::{Occupant, Report, Verdict};
 pub use options::Options;
--- a/crates/medlarpoint_wire/src/datagram.rs
+++ b/crates/medlarpoint_wire/src/datagram.rs
@@ -3,7 +3,7 @@
 use medlarpoint_model::{Version, Vm};
 use serde::{Deserialize, Serialize};
 
-use crate::{Record, Summary, Tip, View};
+use crate::{Boot, Record, Summary, Tip, View};
 
 /// Facts that ride on probes and their answers.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -69,6 +69,12 @@
         /// The daemon that read the store.
         #[serde(rename = "o")]
         origin: Vm,
+        /// Run of that daemon.
+        #[serde(rename = "b")]
+        boot: Boot,
+        /// Rises with each reading of a run.
+        #[serde(rename = "n")]
+        seq: u64,
         /// Version that the sender has in force.
         #[serde(rename = "t")]
         tip: Tip,
