Tell members that went of those that stay, and follow a call through the logs

What changed: members tell those that went in the last 30 s of their own record, each about once a second by the whole fleet; a starting daemon asks members that told of themselves at once.

--- a/crates/medlarpoint_bench/src/fleet.rs
+++ b/crates/medlarpoint_bench/src/fleet.rs
@@ -145,7 +145,7 @@
         let store = self.foreign_store.unwrap_or(self.store.address());
         let text = settings(site, store, &extra);
         let settings = Options::parse(&text)?.resolve()?;
-        let log = Log::new(LogFormat::Off)?;
+        let log = Log::new(LogFormat::Off, &settings.options.vm)?;
         let host = Host::new()?;
         Ok((host.start(settings, log).await?, host))
     }
--- a/crates/medlarpoint_bench/src/node.rs
+++ b/crates/medlarpoint_bench/src/node.rs
@@ -58,7 +58,7 @@
 /// Runs a daemon and prints what happens, until it is killed.
 pub async fn run(settings: &Path) -> Result<(), Failure> {
     let settings = Settings::read(settings)?;
-    let log = Log::new(settings.options.log.format)?;
+    let log = Log::new(settings.options.log.format, &settings.options.vm)?;
     let daemon = Daemon::start(settings, log, None).await?;
     let addresses = daemon.addresses();
     print(&Line::Started { api: addresses.api, peer: addresses.peer })?;
--- a/crates/medlarpoint_cli/src/arguments.rs
+++ b/crates/medlarpoint_cli/src/arguments.rs
@@ -106,6 +106,13 @@
         #[arg(long, conflicts_with_all = ["resource", "version"])]
         target: Option<Vm>,
     },
+    /// Follows one call through the daemons' logs, in order of time.
+    Explain {
+        /// Identity that the caller gave the call.
+        id: String,
+        /// Logs in JSON; standard input when left out.
+        logs: Vec<PathBuf>,
+    },
     /// Stops new work for the target of the asked daemon.
     Drain {
         /// Resumes work instead.
--- a/crates/medlarpoint_cli/src/command.rs
+++ b/crates/medlarpoint_cli/src/command.rs
@@ -1,7 +1,7 @@
 //! Carries out a command.
 
 use std::io::Read as _;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use clap::CommandFactory;
@@ -13,7 +13,7 @@
 use crate::client::{Client, RequestError};
 use crate::output::Palette;
 use crate::progress::{Followed, follow};
-use crate::{Exit, diff, output};
+use crate::{Exit, diff, explain, output};
 
 /// Times a commit with unknown outcome is sent again with the same identity.
 const RESENDS: u32 = 5;
@@ -67,6 +67,29 @@
     }
 }
 
+/// Prints the lines about a call.
+fn explain_call(id: &str, logs: &[PathBuf]) -> Result<Exit, Failure> {
+    let mut lines = Vec::new();
+    if logs.is_empty() {
+        let read = explain::lines_about(id, std::io::stdin());
+        lines = read.map_err(|reason| Failure::Read { path: "-".to_owned(), reason })?;
+    }
+    for path in logs {
+        let opened = std::fs::File::open(path).and_then(|file| explain::lines_about(id, file));
+        let unreadable = |reason| Failure::Read { path: path.display().to_string(), reason };
+        lines.extend(opened.map_err(unreadable)?);
+    }
+    lines.sort_by_key(|line| line.at_ms);
+    if lines.is_empty() {
+        eprintln!(
+            "medlarpoint: no line names the call {id}: its lines may have been left out (MP7006)"
+        );
+        return Ok(Exit::NotFound);
+    }
+    print!("{}", explain::render(&lines));
+    Ok(Exit::Success)
+}
+
 struct Session {
     client: Client,
     format: OutputFormat,
@@ -127,6 +150,7 @@
                 let why: Why = self.client.get(&format!("/v1/why?{topic}")).await?;
                 self.show(&why, output::why)
             }
+            Command::Explain { id, logs } => explain_call(&id, &logs),
             Command::Drain { resume } => {
                 let drain = Drain { draining: !resume };
                 let status: Status = self.client.post("/v1/drain", &drain).await?;
--- a/crates/medlarpoint_cli/src/lib.rs
+++ b/crates/medlarpoint_cli/src/lib.rs
@@ -5,6 +5,7 @@
 mod command;
 mod diff;
 mod exit;
+mod explain;
 mod output;
 mod progress;
 
--- a/crates/medlarpoint_daemon/src/bin/medlarpointd.rs
+++ b/crates/medlarpoint_daemon/src/bin/medlarpointd.rs
@@ -62,7 +62,7 @@
 }
 
 fn run(path: &Path, settings: Settings) -> Result<(), Failure> {
-    let log = Log::new(settings.options.log.format)?;
+    let log = Log::new(settings.options.log.format, &settings.options.vm)?;
     let metrics = install_metrics()?;
     let runtime = runtime(settings.options.workers)?;
     let result = runtime.block_on(async {
--- a/crates/medlarpoint_daemon/src/log.rs
+++ b/crates/medlarpoint_daemon/src/log.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
 
+use medlarpoint_model::Vm;
 use spdlog::Logger;
 use spdlog::formatter::{JsonFormatter, PatternFormatter, pattern};
 use spdlog::sink::{StdStream, StdStreamSink};
@@ -43,6 +44,8 @@
 #[derive(Clone)]
 pub struct Log {
     logger: Option<Arc<Logger>>,
+    /// VM of the daemon, named in each line.
+    vm: Arc<str>,
     calls: Arc<Mutex<Quota>>,
 }
 
@@ -85,12 +88,13 @@
 pub struct SetupError(#[from] spdlog::Error);
 
 impl Log {
-    /// Creates a log of the given shape.
-    pub fn new(format: Format) -> Result<Self, SetupError> {
+    /// Creates a log of the given shape for the daemon of a VM.
+    pub fn new(format: Format, vm: &Vm) -> Result<Self, SetupError> {
+        let vm = Arc::from(vm.as_str());
         let calls = Arc::new(Mutex::new(Quota::new()));
         let sink = StdStreamSink::builder().std_stream(StdStream::Stdout);
         let sink = match format {
-            Format::Off => return Ok(Self { logger: None, calls }),
+            Format::Off => return Ok(Self { logger: None, vm, calls }),
             Format::Json => sink.formatter(JsonFormatter::new()).build_arc()?,
             Format::Text => {
                 let pattern = pattern!("{date} {time}.{millisecond} {level} {payload}{kv}{eol}");
@@ -98,7 +102,7 @@
             }
         };
         let logger = Logger::builder().sink(sink).build_arc()?;
-        Ok(Self { logger: Some(logger), calls })
+        Ok(Self { logger: Some(logger), vm, calls })
     }
 
     /// Writes an event about a call, unless there are too many of them.
@@ -121,16 +125,16 @@
         let Some(logger) = &self.logger else {
             return;
         };
-        let (code, name) = (event.code(), event.name());
+        let (code, name, vm) = (event.code(), event.name(), &*self.vm);
         match event.level() {
             Level::Info => {
-                spdlog::info!(logger: logger, "MP{} {}", code, event, kv: { code, name });
+                spdlog::info!(logger: logger, "MP{} {}", code, event, kv: { code, name, vm });
             }
             Level::Warn => {
-                spdlog::warn!(logger: logger, "MP{} {}", code, event, kv: { code, name });
+                spdlog::warn!(logger: logger, "MP{} {}", code, event, kv: { code, name, vm });
             }
             Level::Error => {
-                spdlog::error!(logger: logger, "MP{} {}", code, event, kv: { code, name });
+                spdlog::error!(logger: logger, "MP{} {}", code, event, kv: { code, name, vm });
             }
         }
     }
--- a/crates/medlarpoint_daemon/src/startup.rs
+++ b/crates/medlarpoint_daemon/src/startup.rs
@@ -61,8 +61,11 @@
         }
         let pause = wait / 4 + jitter(wait);
         wait = (wait * 2).min(MAX_WAIT);
+        let mut changes = shared.changes.subscribe();
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
+            // Perhaps a member has told of itself.
+            _ = changes.changed() => tokio::time::sleep(jitter(FIRST_WAIT)).await,
             () = shared.wait_closed() => return,
         }
     }
@@ -128,14 +131,18 @@
     reached
 }
 
-/// Pulls from members that have just answered until none has anything newer.
+/// Pulls from a few members until none has anything newer.
 async fn ask_peers(driver: &Driver, reached: &[SocketAddr]) -> bool {
     let shared = driver.shared();
     let peers: Vec<(SocketAddr, Distance, String)> = {
         let control = lock(&shared.control);
-        let known = control.detector.table().live();
-        let met = known.filter(|record| reached.contains(&record.peer));
-        met.map(|record| (record.peer, shared.distance(record), record.vm.to_string())).collect()
+        let me = &control.detector.me().vm;
+        let known = control.detector.table().live().filter(|record| record.vm != *me);
+        let mut known: Vec<&Record> = known.collect();
+        // Those that have just answered first; others may have told of themselves.
+        known.sort_by_key(|record| (!reached.contains(&record.peer), shared.distance(record)));
+        let peers = known.into_iter().take(PEERS_ASKED);
+        peers.map(|r| (r.peer, shared.distance(r), r.vm.to_string())).collect()
     };
     let mut answered = 0;
     for (address, distance, vm) in peers {
--- a/crates/medlarpoint_membership/src/detector.rs
+++ b/crates/medlarpoint_membership/src/detector.rs
@@ -27,6 +27,8 @@
 const URGENT_FANOUT: usize = 6;
 /// Probes per period that a data centre sends to members taken for dead.
 const DEAD_RATE: f64 = 1.0;
+/// Time after it went in which a member is likely to come back.
+const RETURN_TIME: Duration = Duration::from_secs(30);
 /// Highest factor by which a daemon in doubt of itself slows down.
 const MAX_HEALTH: u32 = 4;
 /// A gap between ticks of this many periods is taken for a local pause.
@@ -215,6 +217,7 @@
             self.start_probe(now, &mut actions);
             self.sample_others(now, &mut actions);
             self.try_dead(now, &mut actions);
+            actions.extend(self.tell_returning(now));
             self.table.forget(now.saturating_sub(self.options.tombstone));
         }
         actions
@@ -491,6 +494,19 @@
         actions.push(self.probe_at(now, to, false));
     }
 
+    /// Tells members that went a short while ago of the own record: one that
+    /// is back may know nobody while the store is away. All members together
+    /// tell each of them about once a period.
+    fn tell_returning(&mut self, now: Duration) -> Vec<Action> {
+        let live = self.table.live().count().max(1) as f64;
+        let recent = now.saturating_sub(RETURN_TIME);
+        let gone = self.table.members().filter(|m| !m.record.is_live() && m.since >= recent);
+        let gone: Vec<SocketAddr> = gone.map(|member| member.record.peer).collect();
+        let chosen: Vec<SocketAddr> =
+            gone.into_iter().filter(|_| self.rng.random::<f64>() < 1.0 / live).collect();
+        chosen.into_iter().map(|to| self.tell(to)).collect()
+    }
+
     fn dead(&self) -> impl Iterator<Item = SocketAddr> {
         let members = self.table.members().map(|member| &member.record);
         members.filter(|record| record.status == Status::Dead).map(|record| record.peer)
--- a/crates/medlarpoint_membership/src/detector/tests.rs
+++ b/crates/medlarpoint_membership/src/detector/tests.rs
@@ -9,6 +9,8 @@
 use super::{Action, Detector};
 use crate::Options;
 
+const NOW: Duration = Duration::from_secs(100);
+
 fn record(name: &str, data_centre: &str, port: u16) -> Record {
     let address = SocketAddr::from(([127, 0, 0, 1], port));
     Record {
@@ -58,3 +60,25 @@
     assert!(told, "{actions:?}");
     assert_eq!(detector.me().status, Status::Alive);
 }
+
+#[test]
+fn a_member_that_left_is_told_of_those_that_stay_since_it_may_be_back() {
+    let mut detector = Detector::new(Options::default(), record("a", "one", 1), NOW, 1);
+    detector.take_records(NOW, &[record("b", "one", 2)]);
+    let left = Record { status: Status::Left, ..record("b", "one", 2) };
+    detector.take_records(NOW, &[left]);
+    let mut told = 0;
+    for tick in 1..=50 {
+        let now = NOW + Duration::from_millis(100) * tick;
+        let names_us = |body: &Body| match body {
+            Body::Probe { gossip, .. } => gossip.records.iter().any(|r| r.vm.as_str() == "a"),
+            _ => false,
+        };
+        let to_b = |action: &&Action| match action {
+            Action::Send { to, body } => to.port() == 2 && names_us(body),
+            Action::Sync { .. } => false,
+        };
+        told += detector.tick(now).iter().filter(to_b).count();
+    }
+    assert!((3..=6).contains(&told), "{told}");
+}
