--- a/crates/medlarpoint_bench/src/fuzz/calls.rs
+++ b/crates/medlarpoint_bench/src/fuzz/calls.rs
@@ -347,6 +347,7 @@
             attempts: 3,
             may_retry: true,
             deadline,
+            useful_until: None,
             least_time: Duration::ZERO,
             hedge_after: hedged.then_some(Duration::from_millis(200)),
             suspect_after: Duration::from_millis(500),
--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -165,22 +165,23 @@
     let deadline = stop.map_or(deadline, |stop| deadline.min(stop.last_answer));
     let key = idempotency_key(&plan, &parts.headers);
     let replayable = matches!(payload, Payload::Kept(_));
+    let waited = match caller.time_left {
+        Some(left) => lock(&shared.patience).waited(&plan.route.name, left),
+        None => Duration::ZERO,
+    };
+    let useful = plan.route.target_latency_ms.map(Duration::from_millis);
+    let useful_until = useful.map(|useful| now + useful.saturating_sub(waited));
     let terms = Terms {
         repeatable: plan.route.repeatable,
         keyed: key.is_some(),
         attempts: plan.route.attempts,
         may_retry: parts.headers.get(&header::RETRY).is_none_or(|value| value != "no"),
         deadline,
+        useful_until,
         least_time: lock(&service.picker).usual(&plan.route.name).unwrap_or_default() / 2,
         hedge_after: hedge_after(&service, &plan, replayable),
         suspect_after: SUSPECT_AFTER,
     };
-    let waited = match caller.time_left {
-        Some(left) => lock(&shared.patience).waited(&plan.route.name, left),
-        None => Duration::ZERO,
-    };
-    let useful = plan.route.target_latency_ms.map(Duration::from_millis);
-    let useful_until = useful.map(|useful| now + useful.saturating_sub(waited));
     lock(&service.retries).earn(plan.policy.retry_budget_percent);
     lock(&service.hedges).earn(plan.policy.hedge_budget_percent);
     let shared = Arc::clone(shared);
--- a/crates/medlarpoint_routing/src/call.rs
+++ b/crates/medlarpoint_routing/src/call.rs
@@ -32,6 +32,8 @@
     pub may_retry: bool,
     /// When the caller stops waiting, on the local clock.
     pub deadline: Duration,
+    /// When the answer ceases to be of full use to the caller.
+    pub useful_until: Option<Duration>,
     /// Time that an attempt needs at the least; with less left, none is made.
     pub least_time: Duration,
     /// Wait before a second attempt; `None` never hedges.
@@ -436,6 +438,10 @@
             && self.sent < MAX_ATTEMPTS
             && self.reached < self.terms.attempts
             && now + self.terms.least_time < self.terms.deadline;
+        // A late call that was refused would wait in vain elsewhere as well; its
+        // caller is told at once.
+        let late = self.terms.useful_until.is_some_and(|until| now >= until);
+        let may = may && !(late && point == Point::Refused);
         // Where no target was given anything, another try costs no target work.
         let free = !point.reached_target();
         if may
--- a/crates/medlarpoint_routing/src/call/tests.rs
+++ b/crates/medlarpoint_routing/src/call/tests.rs
@@ -65,6 +65,7 @@
         attempts: 3,
         may_retry: true,
         deadline: DEADLINE,
+        useful_until: None,
         least_time: Duration::ZERO,
         hedge_after: None,
         suspect_after: Duration::from_millis(500),
@@ -170,6 +171,18 @@
     assert_eq!(sent_to(&call.on(START, refused, &mut chooser)), Some("a"));
 }
 
+#[test]
+fn a_late_call_that_is_refused_is_told_at_once() {
+    for (waited_ms, elsewhere) in [(100, Some("b")), (700, None)] {
+        let mut chooser = Chooser::new(&["a", "b"]);
+        let useful_until = Some(START + Duration::from_millis(600));
+        let mut call = start(Terms { useful_until, ..terms(true, false) }, &mut chooser);
+        let now = START + Duration::from_millis(waited_ms);
+        let refused = Event::Answered(AttemptId(1), not_run(Point::Refused));
+        assert_eq!(sent_to(&call.on(now, refused, &mut chooser)), elsewhere);
+    }
+}
+
 #[test]
 fn too_little_time_for_another_attempt_ends_the_call_as_not_run() {
     let mut chooser = Chooser::new(&["a", "b"]);
--- a/crates/medlarpoint_routing/src/gate.rs
+++ b/crates/medlarpoint_routing/src/gate.rs
@@ -16,7 +16,7 @@
 const MARGIN: f64 = 1.5;
 /// Longest wait of a late call. Those that cannot be served by then are told
 /// when to come back, and no more of them wait.
-const LATE_PATIENCE: Duration = Duration::from_millis(800);
+const LATE_PATIENCE: Duration = Duration::from_millis(500);
 /// Shortest advice on when to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
