--- a/crates/medlarpoint_daemon/src/control.rs
+++ b/crates/medlarpoint_daemon/src/control.rs
@@ -9,7 +9,7 @@
 use medlarpoint_membership::{
     Action, Event as MemberEvent, Reading as StoreReading, Role, rank, ranked, readers, wave,
 };
-use medlarpoint_model::{DataCentre, Delta, Region, Vm};
+use medlarpoint_model::{Delta, Region, Vm};
 use medlarpoint_wire::{Body, Frame, Gossip, PROTOCOL, Record, Tip, Update, encode};
 use rand::seq::IndexedRandom;
 use tokio::net::UdpSocket;
@@ -28,8 +28,6 @@
 const ANNOUNCE_FANOUT: usize = 6;
 /// Members that hold a role.
 pub(crate) const ROLE_HOLDERS: usize = 2;
-/// Time a new reporter collects reports before it sums up without all of them.
-const REPORTER_WARMUP: Duration = Duration::from_secs(3);
 /// Largest datagram read, in bytes.
 const RECEIVE_BYTES: usize = 2_048;
 
@@ -275,7 +273,7 @@
     }
 
     /// Returns this daemon's place among those that fetch for others.
-    fn order(control: &Control, role: Role) -> Order {
+    pub(crate) fn order(control: &Control, role: Role) -> Order {
         let me = control.detector.me();
         let table = control.detector.table();
         let place = match role {
@@ -350,7 +348,7 @@
     }
 
     /// Takes the events of the detector.
-    fn after(&self, control: &mut Control) {
+    pub(crate) fn after(&self, control: &mut Control) {
         let mut members_changed = false;
         for event in control.detector.take_events() {
             match event {
@@ -382,64 +380,6 @@
         }
     }
 
-    /// Tells the reporters which version is in force here.
-    fn report(&self, control: &mut Control) {
-        if !self.shared.is_ready() {
-            return;
-        }
-        let now = self.shared.now();
-        let version = control.replica.current().version;
-        let place = control.detector.me().data_centre.clone();
-        let live = control.detector.table().live_in(&place).map(|record| &record.vm);
-        let reporters: Vec<Vm> =
-            ranked(Role::Reporter, live, ROLE_HOLDERS).into_iter().cloned().collect();
-        let me = control.detector.me().vm.clone();
-        let at_ms = control.applied_ms;
-        for vm in control.reporter.due(now, version, &reporters) {
-            if vm == me {
-                control.reporter.reported(&me, version, at_ms);
-                control.reporter.confirmed(&me, version);
-                continue;
-            }
-            let Some(peer) = control.detector.table().get(&vm).map(|m| m.record.peer) else {
-                continue;
-            };
-            self.send(control, peer, Body::Report { version, at_ms });
-        }
-    }
-
-    /// Sums up the data centre, if this daemon is one of its reporters.
-    fn summarize(&self, control: &mut Control) {
-        let now = self.shared.now();
-        if Self::order(control, Role::Reporter) == Order::Rest {
-            control.reporter_since = None;
-            return;
-        }
-        let since = *control.reporter_since.get_or_insert(now);
-        let place: DataCentre = control.detector.me().data_centre.clone();
-        let newest = control.replica.current().version;
-        let warm = now.saturating_sub(since) >= REPORTER_WARMUP;
-        let Control { detector, reporter, .. } = control;
-        let live = detector.table().live_in(&place);
-        let Some(summary) = reporter.summary(&place, live, newest, wall_ms()) else {
-            return;
-        };
-        let all_known = summary.laggards.iter().all(|lag| lag.applied.is_some());
-        if !warm && !all_known {
-            return;
-        }
-        let known = detector.summaries().get(&place);
-        let fresh = known.is_some_and(|known| {
-            now.saturating_sub(known.heard) < Duration::from_secs(1)
-                && known.summary.version == summary.version
-                && known.summary.behind == summary.behind
-        });
-        if !fresh {
-            detector.summarize(&summary, now);
-            self.after(control);
-        }
-    }
-
     /// Changes the own record and tells others at once.
     pub(crate) fn update_record(&self, change: impl FnOnce(&mut Record)) {
         let actions = {
@@ -483,7 +423,7 @@
         }
     }
 
-    fn send(&self, control: &Control, to: SocketAddr, body: Body) {
+    pub(crate) fn send(&self, control: &Control, to: SocketAddr, body: Body) {
         let frame = Frame {
             protocol: PROTOCOL,
             fleet: self.shared.fleet().clone(),
--- a/crates/medlarpoint_daemon/src/exchange.rs
+++ b/crates/medlarpoint_daemon/src/exchange.rs
@@ -7,12 +7,11 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, request};
-use http_body::Body as _;
 use medlarpoint_model::{Class, Name, Version, Vm};
 use medlarpoint_platform::call;
 use medlarpoint_routing::{
-    Ask, AttemptId, Call, CallAction, CallEvent, Choice, Claim, Final, IdempotencyKey, Known,
-    Outcome, Pick, Plan, Point, Report, Terms, Verdict,
+    Ask, AttemptId, Call, CallAction, CallEvent, Choice, Final, IdempotencyKey, Known, Outcome,
+    Pick, Plan, Point, Report, Terms, Verdict,
 };
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::AbortHandle;
@@ -21,6 +20,7 @@
 use crate::event::Event;
 use crate::pool::{ExchangeError, Pool};
 use crate::state::{ServiceState, Shared, lock};
+use crate::verdict::{blames_target, report, verdict};
 use crate::{header, inbound};
 
 /// Largest answer read whole before any of it goes to the caller, in bytes.
@@ -466,56 +466,6 @@
     }
 }
 
-/// Tells whether a verdict speaks against the target itself.
-fn blames_target(verdict: &Verdict) -> bool {
-    match verdict {
-        Verdict::Failure | Verdict::Ran => true,
-        Verdict::NotRun { point, .. } => *point == Point::TargetShed,
-        Verdict::Unknown(point) => {
-            matches!(point, Point::TargetGarbled | Point::TargetLost | Point::HalfAnswer)
-        }
-        Verdict::Answer | Verdict::ClaimedBy(_) => false,
-    }
-}
-
-/// Reads what came with an answer.
-fn report(response: &Response<Body>) -> Report {
-    let headers = response.headers();
-    Report {
-        load: header::load(headers),
-        took: header::millis(headers, &header::TOOK_MS),
-        bytes: response.body().size_hint().exact(),
-        failed: false,
-    }
-}
-
-/// Reads what an inbound proxy says of an attempt.
-fn verdict(status: StatusCode, headers: &HeaderMap) -> Verdict {
-    let outcome = header::parse(headers, &header::OUTCOME).unwrap_or(Outcome::Unknown);
-    let point: Option<Point> = headers.get(&header::POINT).and_then(parse_point);
-    match outcome {
-        Outcome::NotRun => Verdict::NotRun {
-            point: point.unwrap_or(Point::Refused),
-            retry_after: header::millis(headers, &header::RETRY_AFTER_MS).unwrap_or_default(),
-        },
-        Outcome::Ran if point.is_some() => Verdict::Ran,
-        Outcome::Ran if status.is_server_error() => Verdict::Failure,
-        Outcome::Ran => Verdict::Answer,
-        Outcome::Unknown => {
-            let vm = header::parse(headers, &header::CLAIM_VM);
-            let boot = header::parse(headers, &header::CLAIM_BOOT);
-            match (vm, boot) {
-                (Some(vm), Some(boot)) => Verdict::ClaimedBy(Claim { vm, boot }),
-                _ => Verdict::Unknown(point.unwrap_or(Point::Sent)),
-            }
-        }
-    }
-}
-
-fn parse_point(value: &HeaderValue) -> Option<Point> {
-    value.to_str().ok()?.parse().ok()
-}
-
 /// Writes an answer that does not come from the target.
 fn told(outcome: Final, fractional: bool) -> Response<Body> {
     let (status, outcome, point, retry_after) = match outcome {
--- /dev/null
+++ b/crates/medlarpoint_daemon/src/handover.rs
@@ -0,0 +1,185 @@
+//! Hands a call to the target of this VM and judges its answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{HeaderMap, Request, Response, StatusCode};
+use medlarpoint_platform::call::{self, Answer};
+use medlarpoint_routing::{Ended, Head, Outcome, Point, Reply};
+
+use crate::body::{Body, Finish, Gathered, gather};
+use crate::event::Event;
+use crate::exchange::call_id;
+use crate::header;
+use crate::inbound::{Job, Kept, answer, load};
+use crate::pool::{ExchangeError, Lease};
+use crate::state::{Shared, lock};
+
+/// Largest answer read whole before it is passed on, in bytes. What breaks off
+/// before can still be had from another target.
+const MAX_WHOLE_BYTES: usize = 1 << 20;
+/// Largest answer kept for a resent idempotency key, in bytes.
+const MAX_KEPT_BYTES: usize = 64 * 1024;
+
+/// Sends the call to the target.
+pub(crate) async fn hand_over(
+    shared: Arc<Shared>,
+    head: Head,
+    mut parts: http::request::Parts,
+    body: Body,
+    job: Job,
+) -> Response<Body> {
+    let Some(target) = lock(&shared.target).clone() else {
+        return not_handed(&shared, job, Point::TargetConnect);
+    };
+    strip(&mut parts.headers);
+    let left = head.deadline.saturating_sub(shared.now());
+    header::set(&mut parts.headers, header::DEADLINE_MS, &left.as_millis().to_string());
+    let id = call::caller(&parts.headers).id;
+    if id.is_some() {
+        let instance = target.occupant.as_ref().map(|occupant| &*occupant.report().instance);
+        call::address(&mut parts.headers, left, instance);
+    }
+    let text = call_id(&parts.headers);
+    let request = Request::from_parts(parts, body);
+    let started = shared.now();
+    let log_lost = |point| {
+        shared.emit_call(&Event::AttemptLost {
+            id: text.clone(),
+            attempt: head.attempt,
+            route: head.kind.clone(),
+            point,
+            took_ms: shared.now().saturating_sub(started).as_millis() as u64,
+        });
+    };
+    let exchange = shared.pool.exchange(target.address, request, head.key.is_none());
+    let exchanged = tokio::time::timeout(left, exchange).await;
+    let (response, lease) = match exchanged {
+        Ok(Ok(exchanged)) => exchanged,
+        Ok(Err(ExchangeError::Connect(_))) => {
+            note_target(&shared, false);
+            return not_handed(&shared, job, Point::TargetConnect);
+        }
+        Ok(Err(ExchangeError::Broken(_))) => {
+            log_lost(Point::TargetLost);
+            job.end(Ended::Broken);
+            return answer(&shared, Reply::Unknown(Point::TargetLost));
+        }
+        Err(_) => {
+            log_lost(Point::Deadline);
+            job.end(Ended::Broken);
+            return answer(&shared, Reply::Unknown(Point::Deadline));
+        }
+    };
+    note_target(&shared, true);
+    let (mut parts, incoming) = response.into_parts();
+    if let Some(load) = call::load(&parts.headers) {
+        shared.pace.note(shared.now(), load.pace_percent);
+    }
+    let worth = match &id {
+        Some(id) => call::judge(parts.status, &parts.headers, id),
+        None if target_shed(&parts) => Answer::NotRun,
+        None => Answer::Ran,
+    };
+    match worth {
+        Answer::Ran => {}
+        Answer::NotRun | Answer::OtherInstance => {
+            if gather(incoming, MAX_WHOLE_BYTES).await.is_ok() {
+                lease.complete();
+            }
+            return not_handed(&shared, job, Point::TargetShed);
+        }
+        Answer::Foreign => {
+            log_lost(Point::TargetGarbled);
+            job.end(Ended::Broken);
+            return answer(&shared, Reply::Unknown(Point::TargetGarbled));
+        }
+    }
+    let gathered = gather(incoming, MAX_WHOLE_BYTES);
+    let left = head.deadline.saturating_sub(shared.now());
+    match tokio::time::timeout(left, gathered).await {
+        Ok(Ok(gathered)) => {
+            let took = shared.now().saturating_sub(started).as_millis();
+            header::set(&mut parts.headers, header::TOOK_MS, &took.to_string());
+            deliver(&shared, &head, parts, gathered, lease, job)
+        }
+        Ok(Err(_)) => {
+            log_lost(Point::HalfAnswer);
+            job.end(Ended::Answered(None));
+            answer(&shared, Reply::Ran)
+        }
+        Err(_) => {
+            log_lost(Point::Deadline);
+            job.end(Ended::Answered(None));
+            answer(&shared, Reply::Unknown(Point::Deadline))
+        }
+    }
+}
+
+/// Passes the target's answer on.
+fn deliver(
+    shared: &Shared,
+    head: &Head,
+    mut parts: http::response::Parts,
+    gathered: Gathered,
+    lease: Lease,
+    job: Job,
+) -> Response<Body> {
+    header::strip_hop_by_hop(&mut parts.headers);
+    let body = match gathered {
+        Gathered::Whole(body) => {
+            lease.complete();
+            let keep = head.key.is_some() && body.len() <= MAX_KEPT_BYTES;
+            let kept = keep.then(|| Kept {
+                status: parts.status,
+                headers: parts.headers.clone(),
+                body: body.clone(),
+            });
+            job.end(Ended::Answered(kept));
+            Body::whole(body)
+        }
+        Gathered::Large(read, rest) => Body::resumed(read, rest, Finish::Job(Box::new(job), lease)),
+    };
+    let load = load(shared);
+    header::set(&mut parts.headers, header::OUTCOME, Outcome::Ran.into());
+    header::set(&mut parts.headers, header::VM, shared.settings.options.vm.as_str());
+    header::set_load(&mut parts.headers, load);
+    Response::from_parts(parts, body)
+}
+
+fn not_handed(shared: &Arc<Shared>, job: Job, point: Point) -> Response<Body> {
+    job.end(Ended::NotHanded);
+    let retry_after = Duration::from_millis(100);
+    let reply = Reply::NotRun { point, refusal: None, retry_after };
+    answer(shared, reply)
+}
+
+/// A target that sheds load says so, and that it did nothing.
+fn target_shed(parts: &http::response::Parts) -> bool {
+    let outcome: Option<Outcome> = header::parse(&parts.headers, &header::OUTCOME);
+    parts.status == StatusCode::SERVICE_UNAVAILABLE && outcome == Some(Outcome::NotRun)
+}
+
+/// Removes what is meant for this proxy.
+fn strip(headers: &mut HeaderMap) {
+    header::strip_hop_by_hop(headers);
+    for name in [
+        header::FLEET,
+        header::ATTEMPT,
+        header::BOOT,
+        header::ROUTE,
+        header::RANK,
+        header::USEFUL_MS,
+        header::SPILL,
+    ] {
+        headers.remove(name);
+    }
+    headers.insert(header::RETRY, http::HeaderValue::from_static("no"));
+}
+
+fn note_target(shared: &Shared, success: bool) {
+    let mut target = lock(&shared.target);
+    if let Some(target) = target.as_mut() {
+        target.failures = if success { 0 } else { target.failures + 1 };
+    }
+}
--- a/crates/medlarpoint_daemon/src/inbound.rs
+++ b/crates/medlarpoint_daemon/src/inbound.rs
@@ -8,39 +8,23 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use medlarpoint_model::{Class, Once, Vm};
-use medlarpoint_platform::call::{self, Answer};
+use medlarpoint_model::{Class, Once};
 use medlarpoint_routing::{
-    AttemptId, Claim, Claimed, Ended, Head, IdempotencyKey, IntakeAction, Known, Load, Outcome,
-    Point, Reply,
+    AttemptId, Ended, Head, IdempotencyKey, IntakeAction, Known, Load, Outcome, Point, Reply,
 };
-use medlarpoint_store::{Error, Expected, Key, LeaseId, Store};
 use medlarpoint_wire::Stage;
-use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
-use crate::body::{Body, Finish, Gathered, gather};
+use crate::body::{Body, Finish};
+use crate::claim;
 use crate::event::Event;
 use crate::exchange::call_id;
+use crate::handover::hand_over;
 use crate::header;
-use crate::pool::{ExchangeError, Lease};
 use crate::state::{Shared, lock};
 
-/// Largest answer read whole before it is passed on, in bytes. What breaks off
-/// before can still be had from another target.
-const MAX_WHOLE_BYTES: usize = 1 << 20;
 /// Rank of a call that names none.
 const DEFAULT_RANK: u8 = 1;
-/// Largest answer kept for a resent idempotency key, in bytes.
-const MAX_KEPT_BYTES: usize = 64 * 1024;
-/// Time to live of the leases that records of idempotency keys are bound to;
-/// the longest that the platform's store grants.
-const CLAIM_LEASE: Duration = Duration::from_secs(600);
-/// Time for which new records are bound to the same lease. A record stays in
-/// the store for the rest of the lease, which is at least half of it.
-const CLAIM_LEASE_USE: Duration = Duration::from_secs(300);
-/// Times a claim whose answer was lost is looked up.
-const CLAIM_LOOKUPS: u32 = 3;
 /// Failed connections in a row after which a target is taken out.
 pub(crate) const TARGET_FAILURES: u32 = 3;
 
@@ -50,9 +34,9 @@
 /// An answer kept for a resent idempotency key.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Kept {
-    status: StatusCode,
-    headers: HeaderMap,
-    body: Bytes,
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
 }
 
 /// A decision on an attempt.
@@ -62,14 +46,6 @@
     Reply(Reply<Kept>),
 }
 
-/// Record of an idempotency key in the store.
-#[derive(Debug, Serialize, Deserialize)]
-struct ClaimRecord {
-    vm: Vm,
-    boot: u64,
-    attempt: String,
-}
-
 /// An attempt handed over to the target. Dropped before its end, it counts as
 /// broken.
 #[derive(Debug)]
@@ -85,7 +61,7 @@
         self.end(Ended::Answered(None));
     }
 
-    fn end(mut self, ended: Ended<Kept>) {
+    pub(crate) fn end(mut self, ended: Ended<Kept>) {
         self.done = true;
         finish(&self.shared, self.attempt, ended);
     }
@@ -139,7 +115,7 @@
         match action {
             IntakeAction::Claim { attempt, key } => {
                 let shared = Arc::clone(shared);
-                tokio::spawn(async move { claim(&shared, attempt, key).await });
+                tokio::spawn(async move { claim::claim(&shared, attempt, key).await });
             }
             IntakeAction::HandOver { attempt } => signal(shared, attempt, Signal::HandOver),
             IntakeAction::Reply { attempt, reply } => {
@@ -163,69 +139,6 @@
     }
 }
 
-/// Creates the record of a key. After a lost answer the record tells whose it is.
-async fn claim(shared: &Arc<Shared>, attempt: AttemptId, key: IdempotencyKey) {
-    let result = try_claim(shared, attempt, key).await;
-    let actions = {
-        let now = shared.now();
-        lock(&shared.intake).claimed(now, attempt, result)
-    };
-    perform(shared, actions);
-}
-
-async fn try_claim(shared: &Shared, attempt: AttemptId, key: IdempotencyKey) -> Claimed {
-    let Ok(key) = format!("once/{key}").parse::<Key>() else {
-        return Claimed::Failed;
-    };
-    let vm = shared.settings.options.vm.clone();
-    let record = ClaimRecord { vm, boot: shared.boot, attempt: attempt.to_string() };
-    let Ok(value) = rmp_serde::to_vec_named(&record) else {
-        return Claimed::Failed;
-    };
-    for _ in 0..CLAIM_LOOKUPS {
-        let Ok(lease) = claim_lease(shared).await else {
-            return Claimed::Failed;
-        };
-        let value = Bytes::from(value.clone());
-        let written = shared.store.swap(&key, Expected::Absent, value, Some(lease)).await;
-        match written {
-            Ok(_) => return Claimed::Mine,
-            // Another holds it, or an earlier try of ours got through.
-            Err(Error::Conflict { .. }) => {
-                if let Ok(Some(item)) = shared.store.get(&key).await {
-                    return owner(&item.value, &record.attempt);
-                }
-            }
-            Err(Error::Unknown(_)) => {}
-            Err(Error::LeaseGone) => *shared.claim_lease.lock().await = None,
-            Err(_) => return Claimed::Failed,
-        }
-    }
-    Claimed::Failed
-}
-
-/// Returns the lease that new records are bound to.
-async fn claim_lease(shared: &Shared) -> Result<LeaseId, Error> {
-    let mut lease = shared.claim_lease.lock().await;
-    let now = shared.now();
-    if let Some((id, granted)) = *lease
-        && now.saturating_sub(granted) < CLAIM_LEASE_USE
-    {
-        return Ok(id);
-    }
-    let id = shared.store.grant(CLAIM_LEASE).await?;
-    *lease = Some((id, now));
-    Ok(id)
-}
-
-fn owner(value: &[u8], attempt: &str) -> Claimed {
-    match rmp_serde::from_slice::<ClaimRecord>(value) {
-        Ok(record) if record.attempt == attempt => Claimed::Mine,
-        Ok(record) => Claimed::Theirs(Claim { vm: record.vm, boot: record.boot }),
-        Err(_) => Claimed::Failed,
-    }
-}
-
 /// Why a request is no attempt.
 #[derive(Debug, thiserror::Error)]
 enum Malformed {
@@ -393,177 +306,14 @@
     });
 }
 
-/// Sends the call to the target.
-async fn hand_over(
-    shared: Arc<Shared>,
-    head: Head,
-    mut parts: http::request::Parts,
-    body: Body,
-    job: Job,
-) -> Response<Body> {
-    let Some(target) = lock(&shared.target).clone() else {
-        return not_handed(&shared, job, Point::TargetConnect);
-    };
-    strip(&mut parts.headers);
-    let left = head.deadline.saturating_sub(shared.now());
-    header::set(&mut parts.headers, header::DEADLINE_MS, &left.as_millis().to_string());
-    let id = call::caller(&parts.headers).id;
-    if id.is_some() {
-        let instance = target.occupant.as_ref().map(|occupant| &*occupant.report().instance);
-        call::address(&mut parts.headers, left, instance);
-    }
-    let text = call_id(&parts.headers);
-    let request = Request::from_parts(parts, body);
-    let started = shared.now();
-    let log_lost = |point| {
-        shared.emit_call(&Event::AttemptLost {
-            id: text.clone(),
-            attempt: head.attempt,
-            route: head.kind.clone(),
-            point,
-            took_ms: shared.now().saturating_sub(started).as_millis() as u64,
-        });
-    };
-    let exchange = shared.pool.exchange(target.address, request, head.key.is_none());
-    let exchanged = tokio::time::timeout(left, exchange).await;
-    let (response, lease) = match exchanged {
-        Ok(Ok(exchanged)) => exchanged,
-        Ok(Err(ExchangeError::Connect(_))) => {
-            note_target(&shared, false);
-            return not_handed(&shared, job, Point::TargetConnect);
-        }
-        Ok(Err(ExchangeError::Broken(_))) => {
-            log_lost(Point::TargetLost);
-            job.end(Ended::Broken);
-            return answer(&shared, Reply::Unknown(Point::TargetLost));
-        }
-        Err(_) => {
-            log_lost(Point::Deadline);
-            job.end(Ended::Broken);
-            return answer(&shared, Reply::Unknown(Point::Deadline));
-        }
-    };
-    note_target(&shared, true);
-    let (mut parts, incoming) = response.into_parts();
-    if let Some(load) = call::load(&parts.headers) {
-        shared.pace.note(shared.now(), load.pace_percent);
-    }
-    let worth = match &id {
-        Some(id) => call::judge(parts.status, &parts.headers, id),
-        None if target_shed(&parts) => Answer::NotRun,
-        None => Answer::Ran,
-    };
-    match worth {
-        Answer::Ran => {}
-        Answer::NotRun | Answer::OtherInstance => {
-            if gather(incoming, MAX_WHOLE_BYTES).await.is_ok() {
-                lease.complete();
-            }
-            return not_handed(&shared, job, Point::TargetShed);
-        }
-        Answer::Foreign => {
-            log_lost(Point::TargetGarbled);
-            job.end(Ended::Broken);
-            return answer(&shared, Reply::Unknown(Point::TargetGarbled));
-        }
-    }
-    let gathered = gather(incoming, MAX_WHOLE_BYTES);
-    let left = head.deadline.saturating_sub(shared.now());
-    match tokio::time::timeout(left, gathered).await {
-        Ok(Ok(gathered)) => {
-            let took = shared.now().saturating_sub(started).as_millis();
-            header::set(&mut parts.headers, header::TOOK_MS, &took.to_string());
-            deliver(&shared, &head, parts, gathered, lease, job)
-        }
-        Ok(Err(_)) => {
-            log_lost(Point::HalfAnswer);
-            job.end(Ended::Answered(None));
-            answer(&shared, Reply::Ran)
-        }
-        Err(_) => {
-            log_lost(Point::Deadline);
-            job.end(Ended::Answered(None));
-            answer(&shared, Reply::Unknown(Point::Deadline))
-        }
-    }
-}
-
-/// Passes the target's answer on.
-fn deliver(
-    shared: &Shared,
-    head: &Head,
-    mut parts: http::response::Parts,
-    gathered: Gathered,
-    lease: Lease,
-    job: Job,
-) -> Response<Body> {
-    header::strip_hop_by_hop(&mut parts.headers);
-    let body = match gathered {
-        Gathered::Whole(body) => {
-            lease.complete();
-            let keep = head.key.is_some() && body.len() <= MAX_KEPT_BYTES;
-            let kept = keep.then(|| Kept {
-                status: parts.status,
-                headers: parts.headers.clone(),
-                body: body.clone(),
-            });
-            job.end(Ended::Answered(kept));
-            Body::whole(body)
-        }
-        Gathered::Large(read, rest) => Body::resumed(read, rest, Finish::Job(Box::new(job), lease)),
-    };
-    let load = load(shared);
-    header::set(&mut parts.headers, header::OUTCOME, Outcome::Ran.into());
-    header::set(&mut parts.headers, header::VM, shared.settings.options.vm.as_str());
-    header::set_load(&mut parts.headers, load);
-    Response::from_parts(parts, body)
-}
-
-fn not_handed(shared: &Arc<Shared>, job: Job, point: Point) -> Response<Body> {
-    job.end(Ended::NotHanded);
-    let retry_after = Duration::from_millis(100);
-    let reply = Reply::NotRun { point, refusal: None, retry_after };
-    answer(shared, reply)
-}
-
-/// A target that sheds load says so, and that it did nothing.
-fn target_shed(parts: &http::response::Parts) -> bool {
-    let outcome: Option<Outcome> = header::parse(&parts.headers, &header::OUTCOME);
-    parts.status == StatusCode::SERVICE_UNAVAILABLE && outcome == Some(Outcome::NotRun)
-}
-
-/// Removes what is meant for this proxy.
-fn strip(headers: &mut HeaderMap) {
-    header::strip_hop_by_hop(headers);
-    for name in [
-        header::FLEET,
-        header::ATTEMPT,
-        header::BOOT,
-        header::ROUTE,
-        header::RANK,
-        header::USEFUL_MS,
-        header::SPILL,
-    ] {
-        headers.remove(name);
-    }
-    headers.insert(header::RETRY, http::HeaderValue::from_static("no"));
-}
-
-fn note_target(shared: &Shared, success: bool) {
-    let mut target = lock(&shared.target);
-    if let Some(target) = target.as_mut() {
-        target.failures = if success { 0 } else { target.failures + 1 };
-    }
-}
-
 /// Returns the load of the target, with the pace of this VM.
-fn load(shared: &Shared) -> Load {
+pub(crate) fn load(shared: &Shared) -> Load {
     let now = shared.now();
     Load { pace_percent: shared.pace.percent(now), ..lock(&shared.intake).load(now) }
 }
 
 /// Answers without the target.
-fn answer(shared: &Shared, reply: Reply<Kept>) -> Response<Body> {
+pub(crate) fn answer(shared: &Shared, reply: Reply<Kept>) -> Response<Body> {
     let mut response = Response::new(Body::empty());
     let load = load(shared);
     let (status, outcome, point) = match reply {
--- a/crates/medlarpoint_daemon/src/lib.rs
+++ b/crates/medlarpoint_daemon/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod api;
 mod body;
+mod claim;
 mod clock;
 mod commit;
 mod control;
@@ -10,6 +11,7 @@
 mod event;
 mod exchange;
 mod explain;
+mod handover;
 mod header;
 mod inbound;
 mod limit;
@@ -23,6 +25,7 @@
 mod reader;
 mod registry;
 mod reload;
+mod reports;
 mod server;
 mod services;
 mod settings;
@@ -30,6 +33,7 @@
 mod state;
 mod target;
 mod traffic;
+mod verdict;
 mod view;
 
 pub use api::{DocumentError, openapi};
--- a/crates/medlarpoint_daemon/src/local.rs
+++ b/crates/medlarpoint_daemon/src/local.rs
@@ -17,6 +17,7 @@
 
 use crate::control::Driver;
 use crate::event::Event;
+use crate::server::accept;
 use crate::state::Shared;
 use crate::target;
 
@@ -24,8 +25,6 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Largest report, in bytes.
 const MAX_REPORT_BYTES: usize = 16 * 1024;
-/// Pause after an accept that failed, for example for lack of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Answers whether callers are served, until the daemon closes.
 pub(crate) async fn serve_ready(shared: Arc<Shared>, listener: TcpListener) {
@@ -57,13 +56,8 @@
     F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
 {
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = shared.wait_closed() => return,
-        };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
+        let Some(stream) = accept(shared, &listener).await else {
+            return;
         };
         let (shared, handle) = (Arc::clone(shared), handle.clone());
         tokio::spawn(async move {
--- a/crates/medlarpoint_daemon/src/peer.rs
+++ b/crates/medlarpoint_daemon/src/peer.rs
@@ -22,6 +22,7 @@
 use crate::body::Body;
 use crate::event::Event;
 use crate::pool::ExchangeError;
+use crate::server::accept;
 use crate::state::{Shared, lock};
 use crate::{header, services};
 
@@ -165,13 +166,8 @@
     let connections = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     let concurrent = Arc::new(Semaphore::new(MAX_CONCURRENT));
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = shared.wait_closed() => return,
-        };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(Duration::from_millis(50)).await;
-            continue;
+        let Some(stream) = accept(&shared, &listener).await else {
+            return;
         };
         let Ok(permit) = Arc::clone(&connections).try_acquire_owned() else {
             let listener = "peer".to_owned();
--- a/crates/medlarpoint_daemon/src/server.rs
+++ b/crates/medlarpoint_daemon/src/server.rs
@@ -44,13 +44,8 @@
     };
     let connections = Arc::new(Semaphore::new(limit));
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = shared.wait_closed() => return,
-        };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
+        let Some(stream) = accept(&shared, &listener).await else {
+            return;
         };
         let Ok(permit) = Arc::clone(&connections).try_acquire_owned() else {
             shared.emit(&Event::ConnectionLimit { listener: kind.to_string(), limit });
@@ -69,6 +64,20 @@
     }
 }
 
+/// Returns the next connection, or `None` once the daemon closes.
+pub(crate) async fn accept(shared: &Shared, listener: &TcpListener) -> Option<TcpStream> {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = shared.wait_closed() => return None,
+        };
+        if let Ok((stream, _)) = accepted {
+            return Some(stream);
+        }
+        tokio::time::sleep(ACCEPT_PAUSE).await;
+    }
+}
+
 async fn serve_stream<F>(
     shared: &Arc<Shared>,
     stream: TcpStream,
