Part the fleet's allowance of extra attempts among its daemons

Cause: each daemon could save up 20 retries and 20 hedges per service, 520 for 13 daemons where the installation allows 60 beyond the share; only luck kept the sum within it.

What changed: the slack is parted among all members known, gone ones too, and earning follows the installation's ratio. Tests part the slack of four installations.

--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -23,6 +23,10 @@
 /// Advice to a caller for whom no target is in reach: the time that membership
 /// takes to learn of one.
 const RETRY_AFTER: Duration = Duration::from_millis(400);
+/// Part of the fleet's extra attempts that retries may take.
+const RETRY_SHARE: f64 = 0.5;
+/// Part of them that hedges may take; the rest stays unused.
+const HEDGE_SHARE: f64 = 0.25;
 /// Longest chain of proxied calls.
 const MAX_DEPTH: u32 = 32;
 /// Silence after which the inbound proxy is asked about an attempt.
@@ -182,8 +186,7 @@
         hedge_after: hedge_after(&service, &plan, replayable),
         suspect_after: SUSPECT_AFTER,
     };
-    lock(&service.retries).earn(plan.policy.retry_budget_percent);
-    lock(&service.hedges).earn(plan.policy.hedge_budget_percent);
+    earn(&shared, &service, &plan);
     let shared = Arc::clone(shared);
     let mut exchange = Exchange::new(shared, service, plan, parts, payload, key, terms);
     exchange.set_useful_until(useful_until);
@@ -210,6 +213,17 @@
     }
 }
 
+/// Lets a call earn its part of extra attempts, within the policy and what the
+/// installation allows the fleet.
+fn earn(shared: &Shared, service: &ServiceState, plan: &Plan) {
+    let ratio = shared.live.load().bounds.retry_ratio;
+    let allowed = |share: f64| (ratio * share * 100.0) as u8;
+    let retries = plan.policy.retry_budget_percent.min(allowed(RETRY_SHARE));
+    let hedges = plan.policy.hedge_budget_percent.min(allowed(HEDGE_SHARE));
+    lock(&service.retries).earn(retries);
+    lock(&service.hedges).earn(hedges);
+}
+
 fn idempotency_key(plan: &Plan, headers: &HeaderMap) -> Option<IdempotencyKey> {
     if plan.route.repeatable {
         return None;
--- a/crates/medlarpoint_daemon/src/services.rs
+++ b/crates/medlarpoint_daemon/src/services.rs
@@ -5,7 +5,9 @@
 use indexmap::IndexMap;
 use medlarpoint_config::Distance;
 use medlarpoint_model::Name;
-use medlarpoint_routing::{Budget, Choice, Distances, Endpoint, Hedge, Locality, Picker, Strategy};
+use medlarpoint_routing::{
+    Allowance, Budget, Choice, Distances, Endpoint, Hedge, Locality, Picker, Strategy,
+};
 use medlarpoint_wire::{Record, Stage};
 
 use crate::state::{Control, ServiceState, Shared, lock};
@@ -33,6 +35,17 @@
     Some((target.service.clone(), Endpoint { choice, locality, slots: target.slots }))
 }
 
+/// Returns this daemon's part of what the installation allows the fleet;
+/// `None` where it says nothing. Members that are gone count as well: they may
+/// only be out of reach.
+fn allowance(shared: &Shared, control: &Control) -> Option<Allowance> {
+    if shared.settings.options.bounds.is_empty() {
+        return None;
+    }
+    let slack = shared.live.load().bounds.retry_slack;
+    Some(Allowance::part(slack, control.detector.table().members().count()))
+}
+
 /// Rebuilds the targets of each service from the live members.
 pub(crate) fn refresh(shared: &Shared, control: &Control) {
     let mut targets: IndexMap<Name, Vec<Endpoint>> = IndexMap::new();
@@ -49,8 +62,13 @@
             Arc::new(ServiceState::new(settings.strategy, settings.distances, seed))
         });
     }
+    let allowance = allowance(shared, control);
     for (name, state) in services.iter() {
         let endpoints = targets.swap_remove(name).unwrap_or_default();
         lock(&state.picker).update(endpoints);
+        if let Some(allowance) = allowance {
+            lock(&state.retries).set_limit(allowance.retries);
+            lock(&state.hedges).set_limit(allowance.hedges);
+        }
     }
 }
--- a/crates/medlarpoint_routing/src/budget.rs
+++ b/crates/medlarpoint_routing/src/budget.rs
@@ -3,6 +3,33 @@
 /// Extra attempts that may be saved up, unless set otherwise.
 const DEFAULT_LIMIT: f64 = 20.0;
 
+/// Share of the fleet's slack that is used; the rest is for daemons that the
+/// others do not know of.
+const SLACK_SHARE: f64 = 0.8;
+/// Part of a daemon's share that goes to hedges.
+const HEDGE_PART: f64 = 0.4;
+
+/// How much one daemon may save up, so that all of them together keep to what
+/// the fleet may do, also while they cannot talk to each other.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    /// Retries saved up at the most.
+    pub retries: f64,
+    /// Hedges saved up at the most.
+    pub hedges: f64,
+}
+
+impl Allowance {
+    /// Parts the fleet's `slack` among `members` daemons. Where that leaves less
+    /// than an attempt to each, hedges go first.
+    pub fn part(slack: f64, members: usize) -> Self {
+        let share = slack * SLACK_SHARE / members.max(1) as f64;
+        let hedges = share * HEDGE_PART;
+        let hedges = if hedges < 1.0 { 0.0 } else { hedges };
+        Self { retries: (share - hedges).max(1.0), hedges }
+    }
+}
+
 /// A bucket that first attempts fill and extra attempts empty.
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
--- a/crates/medlarpoint_routing/src/budget/tests.rs
+++ b/crates/medlarpoint_routing/src/budget/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of [`super`].
 
-use super::Budget;
+use super::{Allowance, Budget};
 
 #[test]
 fn extra_attempts_stay_within_their_share() {
@@ -13,3 +13,21 @@
     }
     assert!((49..=50).contains(&extra), "{extra}");
 }
+
+#[test]
+fn the_parts_of_all_daemons_keep_within_the_slack_of_the_fleet() {
+    for (slack, members) in [(60.0, 13), (64.0, 15), (196.0, 79), (180.0, 70)] {
+        let part = Allowance::part(slack, members);
+        let sum = (part.retries + part.hedges) * members as f64;
+        assert!(sum <= slack, "{members} daemons: {sum} of {slack}");
+        assert!(part.retries >= 1.0);
+    }
+}
+
+#[test]
+fn a_lower_limit_takes_what_was_saved_beyond_it() {
+    let mut budget = Budget::new(20.0);
+    budget.set_limit(1.0);
+    assert!(budget.spend());
+    assert!(!budget.spend());
+}
--- a/crates/medlarpoint_routing/src/lib.rs
+++ b/crates/medlarpoint_routing/src/lib.rs
@@ -26,7 +26,7 @@
 
 pub use attempt::{AttemptId, Claim, Head, IdempotencyKey};
 pub use breaker::{Breaker, Generation};
-pub use budget::Budget;
+pub use budget::{Allowance, Budget};
 pub use call::{
     Action as CallAction, Call, Event as CallEvent, Final, Known, Pick, Terms, Verdict,
 };
