--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -186,7 +186,7 @@
         hedge_after: hedge_after(&service, &plan, replayable),
         suspect_after: SUSPECT_AFTER,
     };
-    earn(&shared, &service, &plan);
+    earn(shared, &service, &plan);
     let shared = Arc::clone(shared);
     let mut exchange = Exchange::new(shared, service, plan, parts, payload, key, terms);
     exchange.set_useful_until(useful_until);
