--- a/crates/medlarpoint_daemon/src/body.rs
+++ b/crates/medlarpoint_daemon/src/body.rs
@@ -12,6 +12,10 @@
 use crate::limit::Pace;
 use crate::pool::Lease;
 
+/// Largest answer read whole before any of it is passed on, in bytes. What
+/// breaks off before can still be had from another target.
+pub(crate) const MAX_WHOLE_BYTES: usize = 1 << 20;
+
 /// Told when a body has passed whole; dropped earlier, it was cut off.
 #[derive(Debug)]
 pub(crate) enum Finish {
--- a/crates/medlarpoint_daemon/src/exchange.rs
+++ b/crates/medlarpoint_daemon/src/exchange.rs
@@ -16,16 +16,13 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::AbortHandle;
 
-use crate::body::{Body, Finish, Gathered, gather};
+use crate::body::{Body, Finish, Gathered, MAX_WHOLE_BYTES, gather};
 use crate::event::Event;
 use crate::pool::{ExchangeError, Pool};
 use crate::state::{ServiceState, Shared, lock};
 use crate::verdict::{blames_target, report, verdict};
 use crate::{header, inbound};
 
-/// Largest answer read whole before any of it goes to the caller, in bytes.
-/// What breaks off before can still be had from another target.
-const MAX_WHOLE_BYTES: usize = 1 << 20;
 /// Longest time a question about an attempt may take.
 const QUERY_TIMEOUT: Duration = Duration::from_secs(1);
 
--- a/crates/medlarpoint_daemon/src/handover.rs
+++ b/crates/medlarpoint_daemon/src/handover.rs
@@ -7,7 +7,7 @@
 use medlarpoint_platform::call::{self, Answer};
 use medlarpoint_routing::{Ended, Head, Outcome, Point, Reply};
 
-use crate::body::{Body, Finish, Gathered, gather};
+use crate::body::{Body, Finish, Gathered, MAX_WHOLE_BYTES, gather};
 use crate::event::Event;
 use crate::exchange::call_id;
 use crate::header;
@@ -15,9 +15,6 @@
 use crate::pool::{ExchangeError, Lease};
 use crate::state::{Shared, lock};
 
-/// Largest answer read whole before it is passed on, in bytes. What breaks off
-/// before can still be had from another target.
-const MAX_WHOLE_BYTES: usize = 1 << 20;
 /// Largest answer kept for a resent idempotency key, in bytes.
 const MAX_KEPT_BYTES: usize = 64 * 1024;
 
--- a/crates/medlarpoint_daemon/src/local.rs
+++ b/crates/medlarpoint_daemon/src/local.rs
@@ -98,9 +98,9 @@
             let taken = report::heartbeat(&body).map_err(target::ReportError::from);
             (instance, taken.and_then(|beat| target::report(&driver, instance, &beat)))
         }
-        report::Message::Farewell { instance } => {
-            let taken = report::farewell(&body).map_err(target::ReportError::from);
-            (instance, taken.map(|born_ms| target::farewell(&driver, instance, born_ms)))
+        report::Message::Deregistration { instance } => {
+            let taken = report::deregistration(&body).map_err(target::ReportError::from);
+            (instance, taken.map(|born_ms| target::deregister(&driver, instance, born_ms)))
         }
     };
     match taken {
--- a/crates/medlarpoint_daemon/src/registry.rs
+++ b/crates/medlarpoint_daemon/src/registry.rs
@@ -51,7 +51,7 @@
         };
         rounds += 1;
         if entry.lease.is_some() && looks(&shared, rounds) {
-            join_strangers(&shared).await;
+            join_unknown(&shared).await;
         }
         tokio::select! {
             () = tokio::time::sleep(wait) => {}
@@ -154,18 +154,18 @@
 
 /// Exchanges tables with members that are listed but not known here: daemons
 /// that started at the same time, or either side of a link that was cut.
-async fn join_strangers(shared: &Shared) {
+async fn join_unknown(shared: &Shared) {
     // The next look tries again.
     let Ok(records) = list(shared, Age::MaybeOld).await else {
         return;
     };
-    let mut strangers: Vec<SocketAddr> = {
+    let mut unknown: Vec<SocketAddr> = {
         let control = lock(&shared.control);
         let known = |record: &&Record| control.detector.table().get(&record.vm).is_some();
         records.iter().filter(|record| !known(record)).map(|record| record.peer).collect()
     };
-    strangers.shuffle(&mut rand::rng());
-    for address in strangers.into_iter().take(MAX_JOINED) {
+    unknown.shuffle(&mut rand::rng());
+    for address in unknown.into_iter().take(MAX_JOINED) {
         if let Err(error) = peer::sync(shared, address, Vec::new()).await {
             shared.emit(&Event::SyncFailed { peer: address, reason: error.to_string() });
         }
--- a/crates/medlarpoint_daemon/src/startup.rs
+++ b/crates/medlarpoint_daemon/src/startup.rs
@@ -23,7 +23,7 @@
 /// Peers tried until that many have answered.
 const PEERS_TRIED: usize = 5;
 /// Longest wait for members to answer.
-const MEET_TIMEOUT: Duration = Duration::from_millis(400);
+const SYNC_TIMEOUT: Duration = Duration::from_millis(400);
 /// First wait between tries.
 const FIRST_WAIT: Duration = Duration::from_millis(200);
 /// Longest wait between tries.
@@ -89,7 +89,7 @@
     let me = lock(&shared.control).detector.me().peer;
     addresses.retain(|address| *address != me);
     addresses.truncate(PEERS_TRIED);
-    let reached = meet(shared, addresses).await;
+    let reached = sync_with(shared, addresses).await;
     let asked = ask_peers(driver, &reached).await;
     if asked && is_enough(shared, Found::Peers) {
         return Found::Peers;
@@ -108,7 +108,7 @@
 
 /// Exchanges tables with some members at once and returns those that answered
 /// in time.
-async fn meet(shared: &Arc<Shared>, addresses: Vec<SocketAddr>) -> Vec<SocketAddr> {
+async fn sync_with(shared: &Arc<Shared>, addresses: Vec<SocketAddr>) -> Vec<SocketAddr> {
     let mut exchanges = JoinSet::new();
     for address in addresses {
         let shared = Arc::clone(shared);
@@ -118,7 +118,7 @@
         });
     }
     let mut reached = Vec::new();
-    let deadline = tokio::time::Instant::now() + MEET_TIMEOUT;
+    let deadline = tokio::time::Instant::now() + SYNC_TIMEOUT;
     while let Ok(Some(met)) = tokio::time::timeout_at(deadline, exchanges.join_next()).await {
         // A panic there was told by the runtime, and the member counts as silent.
         reached.extend(met.ok().flatten());
--- a/crates/medlarpoint_daemon/src/target.rs
+++ b/crates/medlarpoint_daemon/src/target.rs
@@ -113,13 +113,13 @@
     });
 }
 
-/// Takes the farewell of a target. Once this returns, no new work reaches it.
-pub(crate) fn farewell(driver: &Driver, instance: &str, born_ms: Option<u64>) {
+/// Takes the deregistration of a target. Once this returns, no new work reaches it.
+pub(crate) fn deregister(driver: &Driver, instance: &str, born_ms: Option<u64>) {
     let shared = driver.shared();
     let left = {
         let mut target = lock(&shared.target);
         let occupant = target.as_mut().and_then(|target| target.occupant.as_mut());
-        let left = occupant.is_some_and(|known| known.farewell(instance, born_ms));
+        let left = occupant.is_some_and(|known| known.deregister(instance, born_ms));
         if let Some(target) = target.as_mut().filter(|_| left) {
             target.stage = Stage::Draining;
         }
--- a/crates/medlarpoint_membership/src/occupant.rs
+++ b/crates/medlarpoint_membership/src/occupant.rs
@@ -74,8 +74,8 @@
         verdict
     }
 
-    /// Takes the farewell of a process. Returns whether it was the target.
-    pub fn farewell(&mut self, instance: &str, born_ms: Option<u64>) -> bool {
+    /// Takes the deregistration of a process. Returns whether it was the target.
+    pub fn deregister(&mut self, instance: &str, born_ms: Option<u64>) -> bool {
         let same = &*self.report.instance == instance;
         let current = born_ms.is_none_or(|born| born >= self.report.born_ms);
         if same && current {
--- a/crates/medlarpoint_membership/src/occupant/tests.rs
+++ b/crates/medlarpoint_membership/src/occupant/tests.rs
@@ -41,13 +41,13 @@
 }
 
 #[test]
-fn nothing_follows_a_farewell_but_another_process() {
+fn nothing_follows_a_deregistration_but_another_process() {
     let mut place = None;
     Occupant::take(&mut place, at(0), report("a", 10, 1));
     let known = place.as_mut().unwrap();
-    assert!(!known.farewell("b", None));
-    assert!(!known.farewell("a", Some(9)));
-    assert!(known.farewell("a", None));
+    assert!(!known.deregister("b", None));
+    assert!(!known.deregister("a", Some(9)));
+    assert!(known.deregister("a", None));
     assert_eq!(Occupant::take(&mut place, at(100), report("a", 10, 2)), Verdict::Late);
     assert!(!place.as_ref().unwrap().takes_work());
     assert_eq!(Occupant::take(&mut place, at(200), report("a", 30, 1)), Verdict::Replaced);
--- a/crates/medlarpoint_routing/src/call.rs
+++ b/crates/medlarpoint_routing/src/call.rs
@@ -438,7 +438,7 @@
             && self.sent < MAX_ATTEMPTS
             && self.reached < self.terms.attempts
             && now + self.terms.least_time < self.terms.deadline;
-        // A late call that was refused would wait in vain elsewhere as well; its
+        // A late call that was refused would wait elsewhere as well; its
         // caller is told at once.
         let late = self.terms.useful_until.is_some_and(|until| now >= until);
         let may = may && !(late && point == Point::Refused);
--- a/crates/medlarpoint_routing/src/gate.rs
+++ b/crates/medlarpoint_routing/src/gate.rs
@@ -159,8 +159,8 @@
         if turn.late && ticket.may_spill && is_in_time(now, service, &ticket) {
             return (Entry::Refused(Refusal::Busy, retry_after), None);
         }
-        let hopeless = turn.late && self.starves(now, turn, &ticket);
-        if hopeless || now + wait + service > ticket.deadline {
+        let starved = turn.late && self.starves(now, turn, &ticket);
+        if starved || now + wait + service > ticket.deadline {
             return (Entry::Refused(Refusal::TooLate, retry_after), None);
         }
         let limit = usable as usize * usize::from(self.policy.queue_per_slot);
@@ -214,7 +214,7 @@
             let service = &side.service;
             let late = side.queue.extract(|ticket| {
                 let expected = service.of(&ticket.kind);
-                now + expected > ticket.deadline || has_waited_in_vain(now, expected, ticket)
+                now + expected > ticket.deadline || has_waited_too_long(now, expected, ticket)
             });
             let refuse = |t: Ticket| Settled::Refused(t.attempt, Refusal::TooLate, retry_after);
             settled.extend(late.into_iter().map(refuse));
@@ -344,7 +344,7 @@
 
 /// Tells whether a call that is late already has waited for longer than late
 /// calls should.
-fn has_waited_in_vain(now: Duration, service: Duration, ticket: &Ticket) -> bool {
+fn has_waited_too_long(now: Duration, service: Duration, ticket: &Ticket) -> bool {
     let Some(useful_until) = ticket.useful_until else {
         return false;
     };
