Hand a call only to a target of the service that it is for

Cause: a VM's target may be replaced by one of another service. A call chosen for the old one would have been handed to the new one, under its own identity, so that nothing refused it. The attempt now names its service, and the inbound proxy hands it over only to that.

--- a/crates/medlarpoint_daemon/src/control.rs
+++ b/crates/medlarpoint_daemon/src/control.rs
@@ -193,11 +193,11 @@
 
     /// Gives the inbound proxy the policy of its target's service.
     pub(crate) fn refresh_policy(&self) {
-        let target = lock(&self.shared.target);
-        let target = target.as_ref().map(|t| (t.service.clone(), t.occupant.is_some()));
-        let Some((service, reports)) = target else {
+        let target = lock(&self.shared.target).clone();
+        let Some(target) = target else {
             return;
         };
+        let (service, reports) = (target.service, target.occupant.is_some());
         let in_force = self.shared.in_force.load();
         let policy = in_force.snapshot.service(&service).and_then(|s| s.policy.as_ref());
         let policy = policy.and_then(|name| in_force.snapshot.policy(name));
--- a/crates/medlarpoint_daemon/src/exchange.rs
+++ b/crates/medlarpoint_daemon/src/exchange.rs
@@ -271,6 +271,7 @@
             let ms = until.saturating_sub(now).as_millis();
             header::set(headers, header::USEFUL_MS, &ms.to_string());
         }
+        header::set(headers, header::SERVICE, self.service.name.as_str());
         header::set(headers, header::RANK, &self.plan.route.priority.to_string());
         let retry = if self.terms.repeatable { inbound::REPEATABLE } else { "no" };
         header::set(headers, header::RETRY, retry);
--- a/crates/medlarpoint_daemon/src/handover.rs
+++ b/crates/medlarpoint_daemon/src/handover.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use http::{HeaderMap, Request, Response, StatusCode};
+use medlarpoint_model::Name;
 use medlarpoint_platform::call::{self, Answer};
 use medlarpoint_routing::{Ended, Head, Outcome, Point, Reply};
 
@@ -29,6 +30,9 @@
     let Some(target) = lock(&shared.target).clone() else {
         return not_handed(&shared, job, Point::TargetConnect);
     };
+    if !is_for(&parts.headers, &target.service) {
+        return not_handed(&shared, job, Point::TargetConnect);
+    }
     strip(&mut parts.headers);
     let left = head.deadline.saturating_sub(shared.now());
     header::set(&mut parts.headers, header::DEADLINE_MS, &left.as_millis().to_string());
@@ -113,6 +117,14 @@
     }
 }
 
+/// Tells whether an attempt is for a service; one that names none is for
+/// whichever target is here.
+fn is_for(headers: &HeaderMap, service: &Name) -> bool {
+    headers
+        .get(&header::SERVICE)
+        .is_none_or(|named| named.as_bytes() == service.as_str().as_bytes())
+}
+
 /// Passes the target's answer on.
 fn deliver(
     shared: &Shared,
@@ -180,3 +192,6 @@
         target.failures = if success { 0 } else { target.failures + 1 };
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/medlarpoint_daemon/src/header.rs
+++ b/crates/medlarpoint_daemon/src/header.rs
@@ -19,6 +19,8 @@
 pub(crate) const BOOT: HeaderName = HeaderName::from_static("medlarpoint-boot");
 /// Route of the call.
 pub(crate) const ROUTE: HeaderName = HeaderName::from_static("medlarpoint-route");
+/// Service that the call is for; the VM may have got a target of another one.
+pub(crate) const SERVICE: HeaderName = HeaderName::from_static("medlarpoint-service");
 /// Rank of the call when slots are short; 0 goes first.
 pub(crate) const RANK: HeaderName = HeaderName::from_static("medlarpoint-rank");
 /// Time for which the answer is of full use, in milliseconds; 0 if that has
--- a/crates/medlarpoint_daemon/src/services.rs
+++ b/crates/medlarpoint_daemon/src/services.rs
@@ -13,8 +13,9 @@
 use crate::state::{Control, ServiceState, Shared, lock};
 
 impl ServiceState {
-    fn new(strategy: Strategy, distances: Distances, seed: u64) -> Self {
+    fn new(name: Name, strategy: Strategy, distances: Distances, seed: u64) -> Self {
         Self {
+            name,
             picker: Mutex::new(Picker::new(strategy, distances, seed)),
             retries: Mutex::new(Budget::default()),
             hedges: Mutex::new(Budget::default()),
@@ -59,7 +60,7 @@
     for name in targets.keys() {
         let seed = rand::random();
         services.entry(name.clone()).or_insert_with(|| {
-            Arc::new(ServiceState::new(settings.strategy, settings.distances, seed))
+            Arc::new(ServiceState::new(name.clone(), settings.strategy, settings.distances, seed))
         });
     }
     let allowance = allowance(shared, control);
--- a/crates/medlarpoint_daemon/src/state.rs
+++ b/crates/medlarpoint_daemon/src/state.rs
@@ -1,7 +1,9 @@
 //! Tables shared by the workers of a daemon.
 //!
 //! Lock order: `control`, then `services`, then a service's picker, budgets
-//! or hedges, then `intake`, then `waiters`. No lock is held across an await.
+//! or hedges, then `intake`, then `waiters`. `target` and `patience` are held with
+//! no other. No lock is held across an await, but for `claim_lease`, which lets
+//! one worker ask for a lease at a time.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -46,6 +48,7 @@
 /// What an outbound proxy knows of a service.
 #[derive(Debug)]
 pub(crate) struct ServiceState {
+    pub(crate) name: Name,
     pub(crate) picker: Mutex<Picker>,
     pub(crate) retries: Mutex<Budget>,
     pub(crate) hedges: Mutex<Budget>,
