Read a caller's headers once, and keep no copy of what the terms hold

The outbound proxy read the caller's headers three times per call and built a text of its identity for a log line that is seldom written; so did the handover. The exchange kept its own copy of when an answer ceases to be of use, beside the one in its terms, and a flag that its headers tell.

--- a/crates/medlarpoint_daemon/src/exchange.rs
+++ b/crates/medlarpoint_daemon/src/exchange.rs
@@ -100,10 +100,6 @@
     sent: u32,
     /// Version by which the call was routed.
     version: Version,
-    /// When the answer ceases to be of full use to the caller.
-    useful_until: Option<Duration>,
-    /// The caller takes fractions of a second as advice on when to return.
-    fractional: bool,
 }
 
 /// An attempt whose answer has not come.
@@ -152,21 +148,9 @@
             receiver,
             running,
             arrived,
-            useful_until: None,
-            fractional: false,
         }
     }
 
-    /// Sets when the answer ceases to be of full use to the caller.
-    pub(crate) fn set_useful_until(&mut self, until: Option<Duration>) {
-        self.useful_until = until;
-    }
-
-    /// Notes that the caller takes fractions of a second as advice.
-    pub(crate) fn set_fractional(&mut self, fractional: bool) {
-        self.fractional = fractional;
-    }
-
     /// Sends attempts until there is something to tell the caller.
     pub(crate) async fn run(mut self) -> Response<Body> {
         let now = self.shared.now();
@@ -266,7 +250,7 @@
         header::set(headers, header::BOOT, &choice.boot.to_string());
         header::set(headers, header::ROUTE, self.plan.route.name.as_str());
         header::set(headers, header::DEADLINE_MS, &left.as_millis().to_string());
-        if let Some(until) = self.useful_until {
+        if let Some(until) = self.terms.useful_until {
             let now = self.shared.now();
             let ms = until.saturating_sub(now).as_millis();
             header::set(headers, header::USEFUL_MS, &ms.to_string());
@@ -369,7 +353,13 @@
 
     /// Returns the identity that the caller gave the call, for the logs.
     fn id(&self) -> String {
-        call_id(&self.parts.headers)
+        call_id(call::caller(&self.parts.headers).id.as_ref())
+    }
+
+    /// Tells whether the caller takes fractions of a second as advice on when
+    /// to return.
+    fn takes_fractions(&self) -> bool {
+        call::caller(&self.parts.headers).id.is_some()
     }
 
     fn log_end(&self, outcome: Final) {
@@ -414,10 +404,10 @@
     fn conclude(mut self, outcome: Final) -> Response<Body> {
         let Final::Answer(attempt) = outcome else {
             self.log_end(outcome);
-            return told(outcome, self.fractional);
+            return told(outcome, self.takes_fractions());
         };
         let Some(arrived) = self.arrived.remove(&attempt) else {
-            return told(Final::Ran, self.fractional);
+            return told(Final::Ran, self.takes_fractions());
         };
         let (mut parts, body) = arrived.response.into_parts();
         header::strip_hop_by_hop(&mut parts.headers);
@@ -492,9 +482,8 @@
 }
 
 /// Returns the identity that a caller gave a call, for the logs.
-pub(crate) fn call_id(headers: &HeaderMap) -> String {
-    let id = call::caller(headers).id;
-    id.and_then(|id| id.to_str().map(str::to_owned).ok()).unwrap_or_else(|| "-".to_owned())
+pub(crate) fn call_id(id: Option<&HeaderValue>) -> String {
+    id.and_then(|id| id.to_str().ok()).unwrap_or("-").to_owned()
 }
 
 /// Tells a caller when to come back.
--- a/crates/medlarpoint_daemon/src/handover.rs
+++ b/crates/medlarpoint_daemon/src/handover.rs
@@ -41,12 +41,11 @@
         let instance = target.occupant.as_ref().map(|occupant| &*occupant.report().instance);
         call::address(&mut parts.headers, left, instance);
     }
-    let text = call_id(&parts.headers);
     let request = Request::from_parts(parts, body);
     let started = shared.now();
     let log_lost = |point| {
         shared.emit_call(&Event::AttemptLost {
-            id: text.clone(),
+            id: call_id(id.as_ref()),
             attempt: head.attempt,
             route: head.kind.clone(),
             point,
--- a/crates/medlarpoint_daemon/src/inbound.rs
+++ b/crates/medlarpoint_daemon/src/inbound.rs
@@ -9,6 +9,7 @@
 use http::{HeaderMap, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use medlarpoint_model::{Class, Once};
+use medlarpoint_platform::call;
 use medlarpoint_routing::{
     AttemptId, Ended, Head, IdempotencyKey, IntakeAction, Known, Load, Outcome, Point, Reply,
 };
@@ -294,7 +295,7 @@
     };
     let load = load(shared);
     shared.emit_call(&Event::AttemptRefused {
-        id: call_id(headers),
+        id: call_id(call::caller(headers).id.as_ref()),
         attempt: head.attempt,
         route: head.kind.clone(),
         rank: head.rank,
--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -80,11 +80,11 @@
         request.uri().path(),
         request.headers(),
     );
-    let id = call_id(request.headers());
-    let fractional = call::caller(request.headers()).id.is_some();
+    let caller = call::caller(request.headers());
+    let fractional = caller.id.is_some();
     let class = plan.map_or("none", |plan| plan.route.class.into());
     let mut response = match plan {
-        Some(plan) => route(&shared, Arc::clone(plan), request).await,
+        Some(plan) => route(&shared, Arc::clone(plan), request, &caller).await,
         None if shared.is_ready() => refuse(Unroutable::NoRoute, fractional),
         None => refuse(Unroutable::Starting, fractional),
     };
@@ -92,6 +92,7 @@
     if let (Some(reason), None) = (response.headers().get(&header::POINT), point) {
         let reason = reason.to_str().unwrap_or_default().to_owned();
         let version = in_force.snapshot.version;
+        let id = call_id(caller.id.as_ref());
         shared.emit_call(&Event::CallUnroutable { id, reason, version });
     }
     let version = in_force.snapshot.version.0.to_string();
@@ -132,8 +133,8 @@
     shared: &Arc<Shared>,
     plan: Arc<Plan>,
     request: Request<Incoming>,
+    caller: &call::Caller,
 ) -> Response<Body> {
-    let caller = call::caller(request.headers());
     let refuse = |reason| refuse(reason, caller.id.is_some());
     if !shared.is_ready() {
         return refuse(Unroutable::Starting);
@@ -188,10 +189,7 @@
     };
     earn(shared, &service, &plan);
     let shared = Arc::clone(shared);
-    let mut exchange = Exchange::new(shared, service, plan, parts, payload, key, terms);
-    exchange.set_useful_until(useful_until);
-    exchange.set_fractional(caller.id.is_some());
-    exchange.run().await
+    Exchange::new(shared, service, plan, parts, payload, key, terms).run().await
 }
 
 /// Small bodies are kept; others stream.
