Send large answers in turns at the rate of the sender's link

Answers to style lookups wait behind, and the commissions that need them fail. Nothing bounded how many downloads a target worked on at a time, as its slots were free.

Now the gate keeps a model of its VM's link (routing::Link, no I/O): large answers are sent one after the other in chunks at the link's rate, short ones pass, and work on large answers starts only while the link is free within half a second. A forecast of the answer's time, its transfer included, decides what is late, offered elsewhere or told when to come back. The rate is a setting, limits.link_megabits; from 100 Mbit/s on nothing waits.

--- a/crates/medlarpoint_daemon/src/body.rs
+++ b/crates/medlarpoint_daemon/src/body.rs
@@ -11,6 +11,7 @@
 use crate::inbound::Job;
 use crate::limit::Pace;
 use crate::pool::Lease;
+use crate::sending::Sending;
 
 /// Largest answer read whole before any of it is passed on, in bytes. What
 /// breaks off before can still be had from another target.
@@ -45,6 +46,8 @@
 pub(crate) enum Body {
     /// Bytes at hand.
     Whole(Option<Bytes>),
+    /// Bytes at hand that wait for the link.
+    Sending(Sending),
     /// Bytes that pass through.
     Passing {
         /// Those that were read ahead.
@@ -133,6 +136,10 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match &mut *self {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Self::Sending(sending) => {
+                let chunk = ready!(sending.poll_chunk(cx));
+                Poll::Ready(chunk.map(|chunk| Ok(Frame::data(chunk))))
+            }
             Self::Passing { head, incoming, pace, finish } => {
                 if let Some(read) = head.take() {
                     return Poll::Ready(Some(Ok(Frame::data(read))));
@@ -173,6 +180,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(bytes) => bytes.is_none(),
+            Self::Sending(sending) => sending.left() == 0,
             Self::Passing { head, incoming, .. } => head.is_none() && incoming.is_end_stream(),
         }
     }
@@ -182,6 +190,7 @@
             Self::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
             }
+            Self::Sending(sending) => SizeHint::with_exact(sending.left() as u64),
             Self::Passing { head, incoming, .. } => {
                 let read = head.as_ref().map_or(0, |read| read.len() as u64);
                 let rest = incoming.size_hint();
--- a/crates/medlarpoint_daemon/src/daemon.rs
+++ b/crates/medlarpoint_daemon/src/daemon.rs
@@ -324,7 +324,8 @@
     let detector = Detector::new(membership, me, clock.now(), rand::random());
     let replica = Replica::default();
     let in_force = InForce::new(Arc::clone(replica.current()));
-    let intake = Intake::new(options.vm.clone(), boot, Policy::default(), clock.now());
+    let mut intake = Intake::new(options.vm.clone(), boot, Policy::default(), clock.now());
+    intake.gate_mut().set_link(settings.link());
     let control = Control {
         detector,
         replica,
--- a/crates/medlarpoint_daemon/src/handover.rs
+++ b/crates/medlarpoint_daemon/src/handover.rs
@@ -14,6 +14,7 @@
 use crate::header;
 use crate::inbound::{Job, Kept, answer, load};
 use crate::pool::{ExchangeError, Lease};
+use crate::sending;
 use crate::state::{Shared, lock};
 
 /// Largest answer kept for a resent idempotency key, in bytes.
@@ -126,7 +127,7 @@
 
 /// Passes the target's answer on.
 fn deliver(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     head: &Head,
     mut parts: http::response::Parts,
     gathered: Gathered,
@@ -143,8 +144,10 @@
                 headers: parts.headers.clone(),
                 body: body.clone(),
             });
+            // Reserved first: the end of the job lets the next one start.
+            let body = sending::reserve(shared, &head.kind, body);
             job.end(Ended::Answered(kept));
-            Body::whole(body)
+            body
         }
         Gathered::Large(read, rest) => Body::resumed(read, rest, Finish::Job(Box::new(job), lease)),
     };
@@ -178,6 +181,7 @@
         header::ROUTE,
         header::RANK,
         header::USEFUL_MS,
+        header::SERVICE,
         header::SPILL,
     ] {
         headers.remove(name);
--- a/crates/medlarpoint_daemon/src/header.rs
+++ b/crates/medlarpoint_daemon/src/header.rs
@@ -117,8 +117,8 @@
 
 /// Writes a load report.
 pub(crate) fn set_load(headers: &mut HeaderMap, load: Load) {
-    let Load { running, queued, slots, pace_percent } = load;
-    set(headers, LOAD, &format!("{running},{queued},{slots},{pace_percent}"));
+    let Load { running, queued, slots, pace_percent, link_ms } = load;
+    set(headers, LOAD, &format!("{running},{queued},{slots},{pace_percent},{link_ms}"));
 }
 
 /// Reads a load report.
@@ -127,5 +127,6 @@
     let mut parts = text.split(',').map(str::parse::<u32>);
     let mut next = || parts.next()?.ok();
     let (running, queued, slots) = (next()?, next()?, next()?);
-    Some(Load { running, queued, slots, pace_percent: next().unwrap_or_default() })
+    let (pace_percent, link_ms) = (next().unwrap_or_default(), next().unwrap_or_default());
+    Some(Load { running, queued, slots, pace_percent, link_ms })
 }
--- a/crates/medlarpoint_daemon/src/lib.rs
+++ b/crates/medlarpoint_daemon/src/lib.rs
@@ -26,6 +26,7 @@
 mod registry;
 mod reload;
 mod reports;
+mod sending;
 mod server;
 mod services;
 mod settings;
--- a/crates/medlarpoint_daemon/src/settings.rs
+++ b/crates/medlarpoint_daemon/src/settings.rs
@@ -7,7 +7,7 @@
 use medlarpoint_model::{DataCentre, Name, Region, Vm};
 use medlarpoint_platform::bounds::Bounds;
 use medlarpoint_platform::store::Endpoint;
-use medlarpoint_routing::{Distances, Strategy};
+use medlarpoint_routing::{Distances, Link, Strategy};
 use schemars::JsonSchema;
 use serde::Deserialize;
 use strum::IntoEnumIterator;
@@ -16,6 +16,9 @@
 
 /// Time before the platform kills a stopping process by which it has ended.
 const KILL_MARGIN: Duration = Duration::from_millis(400);
+/// Links of this rate and more send large answers in a few milliseconds and
+/// need no turns, in megabits a second.
+const NARROW_MEGABITS: f64 = 100.0;
 
 /// Settings as written in the file.
 #[derive(Clone, Debug, Deserialize, JsonSchema)]
@@ -159,6 +162,9 @@
     pub head_timeout_ms: u64,
     /// Longest pause within a request body, in milliseconds.
     pub body_pause_ms: u64,
+    /// Rate of this VM's link, in megabits a second. Large answers are sent at
+    /// this rate, so that short ones pass; without it, as fast as they come.
+    pub link_megabits: Option<f64>,
 }
 
 impl Default for LimitOptions {
@@ -169,6 +175,7 @@
             body_bytes: 1 << 30,
             head_timeout_ms: 10_000,
             body_pause_ms: 10_000,
+            link_megabits: None,
         }
     }
 }
@@ -298,6 +305,9 @@
         range("limits.connections", self.limits.connections as u64, 1, 1_000_000)?;
         range("limits.head_bytes", self.limits.head_bytes as u64, 8_192, 1 << 20)?;
         range("limits.head_timeout_ms", self.limits.head_timeout_ms, 100, 600_000)?;
+        if self.limits.link_megabits.is_some_and(|rate| !(0.1..=1e6).contains(&rate)) {
+            return Err(value("limits.link_megabits", "is outside 0.1 to 1000000"));
+        }
         range("limits.body_pause_ms", self.limits.body_pause_ms, 100, 600_000)?;
         range("membership.period_ms", self.membership.period_ms, 50, 60_000)?;
         range("membership.suspicion_ms", self.membership.suspicion_ms, 100, 600_000)?;
@@ -336,6 +346,16 @@
 }
 
 impl Settings {
+    /// Tells whether large answers have to be sent at the rate of the link.
+    pub fn has_narrow_link(&self) -> bool {
+        self.options.limits.link_megabits.is_some_and(|rate| rate < NARROW_MEGABITS)
+    }
+
+    /// Returns the link over which answers are sent.
+    pub fn link(&self) -> Link {
+        Link::new(self.options.limits.link_megabits.filter(|_| self.has_narrow_link()))
+    }
+
     /// Reads and checks a settings file.
     pub fn read(path: &Path) -> Result<Self, InvalidSettings> {
         let unreadable = |reason| InvalidSettings::Unreadable { path: path.to_owned(), reason };
--- a/crates/medlarpoint_routing/src/fair.rs
+++ b/crates/medlarpoint_routing/src/fair.rs
@@ -41,20 +41,27 @@
         self.len += 1;
     }
 
-    /// Takes the ticket whose turn comes first.
-    pub(crate) fn pop(&mut self) -> Option<Ticket> {
-        let heads = self.lanes.iter().enumerate();
-        let heads = heads.filter_map(|(i, (_, lane))| Some((i, lane.tickets.front()?.start)));
-        let (index, start) = heads.min_by(|a, b| a.1.total_cmp(&b.1))?;
+    /// Takes the eligible ticket whose turn comes first.
+    pub(crate) fn pop(&mut self, eligible: impl Fn(&Ticket) -> bool) -> Option<Ticket> {
+        let first = |(index, lane): (usize, &Lane)| {
+            let place = lane.tickets.iter().position(|queued| eligible(&queued.ticket))?;
+            Some((index, place, lane.tickets[place].start))
+        };
+        let firsts = self.lanes.values().enumerate().filter_map(first);
+        let (index, place, start) = firsts.min_by(|a, b| a.2.total_cmp(&b.2))?;
         let (_, lane) = self.lanes.get_index_mut(index)?;
-        let queued = lane.tickets.pop_front()?;
-        self.clock = start;
+        let queued = lane.tickets.remove(place)?;
+        self.clock = self.clock.max(start);
         self.len -= 1;
         let clock = self.clock;
         self.lanes.retain(|_, lane| !lane.tickets.is_empty() || lane.finish > clock);
         Some(queued.ticket)
     }
 
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Ticket> {
+        self.lanes.values().flat_map(|lane| &lane.tickets).map(|queued| &queued.ticket)
+    }
+
     /// Takes the newest ticket of the lane that is longest for its weight, if
     /// that lane is longer than the one of `tenant` would become.
     pub(crate) fn displace(&mut self, tenant: &Name, weight: u16) -> Option<Ticket> {
--- a/crates/medlarpoint_routing/src/fair/tests.rs
+++ b/crates/medlarpoint_routing/src/fair/tests.rs
@@ -31,7 +31,7 @@
     for id in 40..60 {
         fair.push(ticket(id, "chairs", 3));
     }
-    let first: Vec<_> = (0..20).filter_map(|_| fair.pop()).collect();
+    let first: Vec<_> = (0..20).filter_map(|_| fair.pop(|_| true)).collect();
     let chairs = first.iter().filter(|t| t.tenant.as_str() == "chairs").count();
     assert_eq!(chairs, 15);
 }
--- a/crates/medlarpoint_routing/src/gate.rs
+++ b/crates/medlarpoint_routing/src/gate.rs
@@ -8,15 +8,11 @@
 use medlarpoint_model::{Class, Name, Policy};
 
 use crate::AttemptId;
+use crate::forecast::{Ahead, Forecast, LATE_PATIENCE};
+use crate::link::Link;
 use crate::ranked::{Ranked, Turn};
 use crate::service::Service;
 
-/// Expected service times that must remain for a call to count as in time: work
-/// varies, and one that starts with less is mostly late.
-const MARGIN: f64 = 1.5;
-/// Longest wait of a late call. Those that cannot be served by then are told
-/// when to come back, and no more of them wait.
-const LATE_PATIENCE: Duration = Duration::from_millis(500);
 /// Shortest advice on when to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -93,6 +89,9 @@
     /// How long work takes on the VM at the moment, in percent of the usual;
     /// zero if that is unknown.
     pub pace_percent: u32,
+    /// Time until the link has room for another large answer, in
+    /// milliseconds.
+    pub link_ms: u32,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -113,12 +112,24 @@
     opened: Duration,
     short: Side,
     long: Side,
+    link: Link,
 }
 
 impl Gate {
     /// Opens a target with `slots` slots at `now`; zero slots admit nothing.
     pub fn new(slots: u32, policy: Policy, now: Duration) -> Self {
-        Self { slots, policy, opened: now, short: Side::default(), long: Side::default() }
+        let (short, long) = (Side::default(), Side::default());
+        Self { slots, policy, opened: now, short, long, link: Link::default() }
+    }
+
+    /// Changes the link over which answers are sent.
+    pub fn set_link(&mut self, link: Link) {
+        self.link = link;
+    }
+
+    /// Returns the link over which answers are sent.
+    pub fn link_mut(&mut self) -> &mut Link {
+        &mut self.link
     }
 
     /// Changes the policy.
@@ -146,21 +157,21 @@
             return (Entry::Refused(Refusal::NoTarget, MIN_RETRY_AFTER), None);
         }
         let class = ticket.class;
-        if self.side(class).queue.len() == 0 && self.has_slot(class, usable) {
+        if self.is_next(now, &ticket) && self.has_slot(class, usable) {
             if now >= ticket.deadline {
                 return (Entry::Refused(Refusal::TooLate, MIN_RETRY_AFTER), None);
             }
-            self.side_mut(class).running += 1;
+            self.start(class, &ticket.kind);
             return (Entry::Run, None);
         }
-        let retry_after = self.retry_after(class, usable);
-        let (turn, wait) = self.turn(now, usable, &ticket);
-        let service = self.side(class).service.of(&ticket.kind);
-        if turn.late && ticket.may_spill && is_in_time(now, service, &ticket) {
+        let retry_after = self.retry_after(now, usable, &ticket);
+        let (turn, ahead) = self.turn(now, usable, &ticket);
+        let forecast = self.forecast(now, class);
+        if turn.late && ticket.may_spill && forecast.is_in_time_elsewhere(&ticket) {
             return (Entry::Refused(Refusal::Busy, retry_after), None);
         }
         let starved = turn.late && self.starves(now, turn, &ticket);
-        if starved || now + wait + service > ticket.deadline {
+        if starved || !forecast.meets_deadline(&ticket, ahead) {
             return (Entry::Refused(Refusal::TooLate, retry_after), None);
         }
         let limit = usable as usize * usize::from(self.policy.queue_per_slot);
@@ -184,6 +195,7 @@
         kind: &Name,
         took: Option<Duration>,
     ) -> Vec<Settled> {
+        self.link.ended(kind);
         let side = self.side_mut(class);
         side.running = side.running.saturating_sub(1);
         if let Some(took) = took {
@@ -208,16 +220,14 @@
     pub fn sweep(&mut self, now: Duration) -> Vec<Settled> {
         let mut settled = Vec::new();
         for class in [Class::Short, Class::Long] {
-            let usable = self.usable(now);
-            let retry_after = self.retry_after(class, usable);
-            let side = self.side_mut(class);
-            let service = &side.service;
-            let late = side.queue.extract(|ticket| {
-                let expected = service.of(&ticket.kind);
-                now + expected > ticket.deadline || has_waited_too_long(now, expected, ticket)
-            });
-            let refuse = |t: Ticket| Settled::Refused(t.attempt, Refusal::TooLate, retry_after);
-            settled.extend(late.into_iter().map(refuse));
+            let forecast = self.forecast(now, class);
+            let late = |ticket: &Ticket| {
+                !forecast.meets_deadline(ticket, Ahead::default())
+                    || forecast.has_waited_too_long(ticket)
+            };
+            // Decided first, as taking them out changes the queue.
+            let late: Vec<AttemptId> = self.side(class).queue.find(late);
+            settled.extend(late.into_iter().filter_map(|id| self.refuse_late(now, class, id)));
         }
         settled.extend(self.admit(now));
         settled
@@ -230,37 +240,73 @@
             queued: (self.short.queue.len() + self.long.queue.len()) as u32,
             slots: self.usable(now),
             pace_percent: 0,
+            link_ms: self.link_wait(now).as_millis() as u32,
         }
     }
 
+    /// Time until the link has sent the answers of all calls that run or wait.
+    fn link_wait(&self, now: Duration) -> Duration {
+        let queues = [&self.short.queue, &self.long.queue];
+        let waiting = queues.into_iter().flat_map(Ranked::iter);
+        let queued: Duration = waiting.map(|ticket| self.link.transfer(&ticket.kind)).sum();
+        self.link.wait(now) + queued
+    }
+
     fn admit(&mut self, now: Duration) -> Vec<Settled> {
         let mut settled = Vec::new();
         let usable = self.usable(now);
-        while let Some(class) = self.next_class(usable) {
-            let retry_after = self.retry_after(class, usable);
-            let side = self.side_mut(class);
-            let service = &side.service;
-            let in_time = |ticket: &Ticket| is_in_time(now, service.of(&ticket.kind), ticket);
-            let Some(ticket) = side.queue.pop(in_time) else {
+        while let Some(class) = self.next_class(now, usable) {
+            let (side, link) = match class {
+                Class::Short => (&mut self.short, &self.link),
+                Class::Long => (&mut self.long, &self.link),
+            };
+            let forecast = Forecast { now, service: &side.service, link };
+            let eligible = |ticket: &Ticket| !link.blocks(now, &ticket.kind);
+            let in_time = |ticket: &Ticket| forecast.is_in_time(ticket, Ahead::default());
+            let Some(ticket) = side.queue.pop(eligible, in_time) else {
                 break;
             };
-            if now + side.service.of(&ticket.kind) > ticket.deadline {
+            if !forecast.meets_deadline(&ticket, Ahead::default()) {
+                let retry_after = self.retry_after(now, usable, &ticket);
                 settled.push(Settled::Refused(ticket.attempt, Refusal::TooLate, retry_after));
                 continue;
             }
-            side.running += 1;
+            self.start(class, &ticket.kind);
             settled.push(Settled::Run(ticket.attempt));
         }
         settled
     }
 
+    fn refuse_late(&mut self, now: Duration, class: Class, attempt: AttemptId) -> Option<Settled> {
+        let usable = self.usable(now);
+        let ticket = self.side_mut(class).queue.remove(attempt)?;
+        let retry_after = self.retry_after(now, usable, &ticket);
+        Some(Settled::Refused(attempt, Refusal::TooLate, retry_after))
+    }
+
+    fn start(&mut self, class: Class, kind: &Name) {
+        self.link.started(kind);
+        self.side_mut(class).running += 1;
+    }
+
+    /// Tells whether nothing that waits goes before a newcomer that can run.
+    fn is_next(&self, now: Duration, ticket: &Ticket) -> bool {
+        !self.link.blocks(now, &ticket.kind) && !self.has_eligible(now, ticket.class)
+    }
+
+    /// Tells whether something waits that the link has room for.
+    fn has_eligible(&self, now: Duration, class: Class) -> bool {
+        let queue = &self.side(class).queue;
+        queue.any(|waiting| !self.link.blocks(now, &waiting.kind))
+    }
+
     /// Short work goes first, but long work that waits always gets one slot.
-    fn next_class(&self, usable: u32) -> Option<Class> {
-        let long_waits = self.long.queue.len() > 0 && self.has_slot(Class::Long, usable);
+    fn next_class(&self, now: Duration, usable: u32) -> Option<Class> {
+        let long_waits = self.has_slot(Class::Long, usable) && self.has_eligible(now, Class::Long);
         if long_waits && self.long.running == 0 {
             return Some(Class::Long);
         }
-        if self.short.queue.len() > 0 && self.has_slot(Class::Short, usable) {
+        if self.has_slot(Class::Short, usable) && self.has_eligible(now, Class::Short) {
             return Some(Class::Short);
         }
         long_waits.then_some(Class::Long)
@@ -289,16 +335,19 @@
         ((f64::from(self.slots) * share) as u32).clamp(1, self.slots)
     }
 
-    /// Returns the turn of a call that arrives now, and its expected wait.
-    fn turn(&self, now: Duration, usable: u32, ticket: &Ticket) -> (Turn, Duration) {
+    /// Returns the turn of a call that arrives now, and what stands before it.
+    fn turn(&self, now: Duration, usable: u32, ticket: &Ticket) -> (Turn, Ahead) {
         let early = Turn { rank: ticket.rank, late: false };
-        let wait = self.wait(usable, early, ticket);
-        let service = self.side(ticket.class).service.of(&ticket.kind);
-        if is_in_time(now + wait, service, ticket) {
-            return (early, wait);
+        let ahead = self.ahead(now, usable, early, ticket);
+        if self.forecast(now, ticket.class).is_in_time(ticket, ahead) {
+            return (early, ahead);
         }
         let late = Turn { late: true, ..early };
-        (late, self.wait(usable, late, ticket))
+        (late, self.ahead(now, usable, late, ticket))
+    }
+
+    fn forecast(&self, now: Duration, class: Class) -> Forecast<'_> {
+        Forecast { now, service: &self.side(class).service, link: &self.link }
     }
 
     /// Tells whether calls that go first leave nothing to those of `turn` that
@@ -308,10 +357,17 @@
         first.is_some_and(|since| now.saturating_sub(since) > LATE_PATIENCE)
     }
 
-    /// Expected wait of a call that arrives now with `turn`.
-    fn wait(&self, usable: u32, turn: Turn, ticket: &Ticket) -> Duration {
-        let ahead = self.side(ticket.class).queue.ahead(turn, ticket);
-        self.wait_behind(ticket.class, usable, ahead)
+    /// Returns what stands before a call that arrives now with `turn`. Those
+    /// that wait for the link hold up only each other.
+    fn ahead(&self, now: Duration, usable: u32, turn: Turn, ticket: &Ticket) -> Ahead {
+        let queue = &self.side(ticket.class).queue;
+        let free = |waiting: &Ticket| !self.link.blocks(now, &waiting.kind);
+        let large = |waiting: &Ticket| self.link.is_large(&waiting.kind);
+        let before = queue.ahead(turn, ticket, free);
+        Ahead {
+            slot: self.wait_behind(ticket.class, usable, before),
+            large: queue.ahead(turn, ticket, large),
+        }
     }
 
     fn wait_behind(&self, class: Class, usable: u32, ahead: usize) -> Duration {
@@ -323,8 +379,15 @@
     }
 
     /// Time until the present queue has drained.
-    fn retry_after(&self, class: Class, usable: u32) -> Duration {
-        self.wait_behind(class, usable, self.side(class).queue.len()).max(MIN_RETRY_AFTER)
+    fn retry_after(&self, now: Duration, usable: u32, ticket: &Ticket) -> Duration {
+        let queue = &self.side(ticket.class).queue;
+        let drained = self.wait_behind(ticket.class, usable, queue.len()).max(MIN_RETRY_AFTER);
+        if !self.link.is_large(&ticket.kind) {
+            return drained;
+        }
+        let large = queue.count(|waiting| self.link.is_large(&waiting.kind));
+        let sent = self.link.wait(now) + self.link.transfer(&ticket.kind).mul_f64(large as f64);
+        drained.max(sent)
     }
 
     fn side(&self, class: Class) -> &Side {
@@ -342,21 +405,5 @@
     }
 }
 
-/// Tells whether a call that is late already has waited for longer than late
-/// calls should.
-fn has_waited_too_long(now: Duration, service: Duration, ticket: &Ticket) -> bool {
-    let Some(useful_until) = ticket.useful_until else {
-        return false;
-    };
-    let late_since = ticket.since.max(useful_until.saturating_sub(service.mul_f64(MARGIN)));
-    now.saturating_sub(late_since) > LATE_PATIENCE
-}
-
-/// Tells whether a call that starts at `start` is answered while that is of
-/// full use.
-fn is_in_time(start: Duration, service: Duration, ticket: &Ticket) -> bool {
-    ticket.useful_until.is_none_or(|until| start + service.mul_f64(MARGIN) <= until)
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/medlarpoint_routing/src/gate/tests.rs
+++ b/crates/medlarpoint_routing/src/gate/tests.rs
@@ -6,6 +6,7 @@
 
 use super::{Entry, Gate, LATE_PATIENCE, Refusal, Settled, Ticket};
 use crate::AttemptId;
+use crate::link::Link;
 
 const NOW: Duration = Duration::from_secs(100);
 
@@ -154,3 +155,92 @@
     let spilled = Ticket { may_spill: true, ..aimed(2, 100) };
     assert_eq!(gate.arrive(NOW, spilled).0, Entry::Queued);
 }
+
+fn pack() -> Name {
+    "pack".parse().unwrap()
+}
+
+/// A gate whose link carries 92 kilobytes a second, and whose packs are of 92
+/// kilobytes.
+fn behind_narrow_link() -> Gate {
+    let mut gate = gate(9);
+    gate.set_link(Link::new(Some(0.8)));
+    gate.link_mut().observe(&pack(), 92_000);
+    gate
+}
+
+fn download(id: u128, useful_ms: u64) -> Ticket {
+    Ticket { kind: pack(), rank: 2, ..aimed(id, useful_ms) }
+}
+
+#[test]
+fn short_answers_pass_large_ones_that_wait_for_the_link() {
+    let mut gate = behind_narrow_link();
+    assert_eq!(gate.arrive(NOW, download(1, 5_000)).0, Entry::Run);
+    assert_eq!(gate.arrive(NOW, download(2, 5_000)).0, Entry::Queued);
+    assert_eq!(gate.arrive(NOW, aimed(3, 200)).0, Entry::Run);
+    gate.link_mut().reserve(NOW, 92_000);
+    gate.leave(NOW, Class::Short, &pack(), Some(Duration::from_millis(150)));
+    let soon = NOW + Duration::from_millis(400);
+    assert_eq!(gate.sweep(soon), []);
+    let free = NOW + Duration::from_millis(500);
+    assert_eq!(gate.sweep(free), [Settled::Run(AttemptId(2))]);
+}
+
+#[test]
+fn a_large_answer_that_the_link_cannot_carry_in_time_is_offered_elsewhere() {
+    let mut gate = behind_narrow_link();
+    gate.arrive(NOW, download(1, 5_000));
+    let newcomer = Ticket { may_spill: true, ..download(2, 1_500) };
+    let (entry, _) = gate.arrive(NOW, newcomer);
+    let Entry::Refused(Refusal::Busy, after) = entry else {
+        panic!("{entry:?}");
+    };
+    assert_eq!(after, Duration::from_secs(1));
+}
+
+#[test]
+fn a_burst_of_large_answers_beyond_the_link_is_served_in_part_and_in_time() {
+    let mut gate = behind_narrow_link();
+    let mut sent: Vec<Duration> = Vec::new();
+    let mut refused = 0;
+    let mut running: Vec<(Duration, AttemptId)> = Vec::new();
+    // Twice as many packs as the link carries, for ten seconds.
+    for step in 0..2_000_u64 {
+        let now = NOW + Duration::from_millis(step * 10);
+        let mut settled = gate.sweep(now);
+        if step < 1_000 && step % 50 == 0 {
+            let ticket = Ticket {
+                since: now,
+                deadline: now + Duration::from_secs(6),
+                ..{
+                    let mut ticket = download(u128::from(step), 0);
+                    ticket.useful_until = Some(now + Duration::from_millis(2_500));
+                    ticket
+                }
+            };
+            match gate.arrive(now, ticket.clone()).0 {
+                Entry::Run => settled.push(Settled::Run(ticket.attempt)),
+                Entry::Queued => {}
+                Entry::Refused(..) => refused += 1,
+            }
+        }
+        let done: Vec<_> = running.extract_if(.., |(end, _)| *end <= now).collect();
+        for (_, attempt) in done {
+            let start = gate.link_mut().reserve(now, 92_000);
+            let arrived = NOW + Duration::from_millis(attempt.0 as u64 * 10);
+            sent.push((start + Duration::from_secs(1)).saturating_sub(arrived));
+            settled.extend(gate.leave(now, Class::Short, &pack(), None));
+        }
+        for decision in settled {
+            match decision {
+                Settled::Run(attempt) => running.push((now + Duration::from_millis(150), attempt)),
+                Settled::Refused(..) => refused += 1,
+            }
+        }
+    }
+    assert_eq!(sent.len() + refused, 20);
+    let in_time = sent.iter().filter(|took| **took <= Duration::from_millis(2_500)).count();
+    assert!(in_time >= 9, "{in_time} in time of {sent:?}");
+    assert!(in_time + 2 >= sent.len(), "{in_time} in time of {sent:?}");
+}
--- a/crates/medlarpoint_routing/src/picker/tests.rs
+++ b/crates/medlarpoint_routing/src/picker/tests.rs
@@ -34,7 +34,7 @@
 }
 
 fn load(running: u32, queued: u32) -> Load {
-    Load { running, queued, slots: 10, pace_percent: 100 }
+    Load { running, queued, slots: 10, pace_percent: 100, link_ms: 0 }
 }
 
 fn answer(picker: &mut Picker, name: &str, report: Report) {
--- a/crates/medlarpoint_routing/src/ranked.rs
+++ b/crates/medlarpoint_routing/src/ranked.rs
@@ -58,13 +58,18 @@
         }
     }
 
-    fn pop(&mut self) -> Option<Ticket> {
-        match self.due.pop_first() {
-            Some((_, ticket)) => Some(ticket),
-            None => self.fair.pop(),
+    fn pop(&mut self, eligible: impl Fn(&Ticket) -> bool) -> Option<Ticket> {
+        let first = self.due.iter().find(|(_, ticket)| eligible(ticket));
+        match first.map(|(place, _)| *place) {
+            Some(place) => self.due.remove(&place),
+            None => self.fair.pop(eligible),
         }
     }
 
+    fn iter(&self) -> impl Iterator<Item = &Ticket> {
+        self.due.values().chain(self.fair.iter())
+    }
+
     /// Iterates over the tickets that go before `newcomer`, tenants' turns
     /// left out.
     fn before(&self, turn: Turn, newcomer: &Ticket) -> impl Iterator<Item = &Ticket> {
@@ -95,15 +100,44 @@
         self.lanes.values().map(Lane::len).sum()
     }
 
-    /// Counts the tickets that go before a newcomer.
-    pub(crate) fn ahead(&self, turn: Turn, newcomer: &Ticket) -> usize {
-        let earlier: usize = self.lanes.range(..turn).map(|(_, lane)| lane.len()).sum();
+    /// Iterates over all tickets.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Ticket> {
+        self.lanes.values().flat_map(Lane::iter)
+    }
+
+    /// Returns the attempts whose tickets `test` holds for.
+    pub(crate) fn find(&self, test: impl Fn(&Ticket) -> bool) -> Vec<AttemptId> {
+        self.iter().filter(|ticket| test(ticket)).map(|ticket| ticket.attempt).collect()
+    }
+
+    /// Counts the tickets for which `test` holds.
+    pub(crate) fn count(&self, test: impl Fn(&Ticket) -> bool) -> usize {
+        self.iter().filter(|ticket| test(ticket)).count()
+    }
+
+    /// Tells whether `test` holds for any ticket.
+    pub(crate) fn any(&self, test: impl Fn(&Ticket) -> bool) -> bool {
+        self.iter().any(test)
+    }
+
+    /// Counts the tickets that go before a newcomer and for which `test` holds.
+    pub(crate) fn ahead(
+        &self,
+        turn: Turn,
+        newcomer: &Ticket,
+        test: impl Fn(&Ticket) -> bool,
+    ) -> usize {
+        let counts = |ticket: &&Ticket| test(ticket);
+        let earlier = self.lanes.range(..turn).flat_map(|(_, lane)| lane.iter());
+        let earlier = earlier.filter(counts).count();
         let Some(lane) = self.lanes.get(&turn) else {
             return earlier;
         };
-        let same = lane.before(turn, newcomer).count();
-        let fair = if newcomer.useful_until.is_none() { lane.fair.len() } else { 0 };
-        earlier + same + fair
+        let same = lane.before(turn, newcomer).filter(counts).count();
+        if newcomer.useful_until.is_some() {
+            return earlier + same;
+        }
+        earlier + same + lane.fair.iter().filter(counts).count()
     }
 
     /// Returns when the ticket came that has waited longest among those of a
@@ -117,15 +151,18 @@
         self.lanes.entry(turn).or_default().push(turn, ticket);
     }
 
-    /// Takes the next ticket. One that has waited until it is no longer in
-    /// time waits on among the late ones.
-    pub(crate) fn pop(&mut self, in_time: impl Fn(&Ticket) -> bool) -> Option<Ticket> {
+    /// Takes the next eligible ticket. One that has waited until it is no
+    /// longer in time waits on among the late ones.
+    pub(crate) fn pop(
+        &mut self,
+        eligible: impl Fn(&Ticket) -> bool,
+        in_time: impl Fn(&Ticket) -> bool,
+    ) -> Option<Ticket> {
         loop {
-            let (turn, lane) = self.lanes.iter_mut().next()?;
-            let turn = *turn;
-            let ticket = lane.pop();
+            let mut lanes = self.lanes.iter_mut();
+            let next = lanes.find_map(|(turn, lane)| Some((*turn, lane.pop(&eligible)?)));
+            let (turn, ticket) = next?;
             self.tidy();
-            let ticket = ticket?;
             if turn.late || in_time(&ticket) {
                 return Some(ticket);
             }
--- a/crates/medlarpoint_routing/src/ranked/tests.rs
+++ b/crates/medlarpoint_routing/src/ranked/tests.rs
@@ -32,8 +32,8 @@
     for (id, rank) in [(1, 2), (2, 1), (3, 2), (4, 0)] {
         queue.push(early(rank), ticket(id));
     }
-    assert_eq!((queue.len(), queue.ahead(early(1), &ticket(9))), (4, 2));
-    let next = || queue.pop(|_| true).map(|ticket| ticket.attempt.0);
+    assert_eq!((queue.len(), queue.ahead(early(1), &ticket(9), |_| true)), (4, 2));
+    let next = || queue.pop(|_| true, |_| true).map(|ticket| ticket.attempt.0);
     let order: Vec<u128> = std::iter::from_fn(next).collect();
     assert_eq!(order, [4, 2, 1, 3]);
 }
@@ -45,8 +45,9 @@
         queue.push(early(1), ticket(id));
     }
     let in_time = |ticket: &Ticket| ticket.attempt.0 > 1;
-    let order: Vec<u128> =
-        std::iter::from_fn(|| queue.pop(in_time)).map(|ticket| ticket.attempt.0).collect();
+    let order: Vec<u128> = std::iter::from_fn(|| queue.pop(|_| true, in_time))
+        .map(|ticket| ticket.attempt.0)
+        .collect();
     assert_eq!(order, [2, 3, 1]);
 }
 
@@ -69,8 +70,8 @@
     for (id, ms) in [(1, 800), (2, 790), (3, 200)] {
         queue.push(early(1), due(id, ms));
     }
-    assert_eq!(queue.ahead(early(1), &due(9, 300)), 1);
-    let next = || queue.pop(|_| true).map(|ticket| ticket.attempt.0);
+    assert_eq!(queue.ahead(early(1), &due(9, 300), |_| true), 1);
+    let next = || queue.pop(|_| true, |_| true).map(|ticket| ticket.attempt.0);
     let order: Vec<u128> = std::iter::from_fn(next).collect();
     assert_eq!(order, [3, 2, 1]);
 }
@@ -84,5 +85,5 @@
         let deadline = Duration::from_millis(ms);
         queue.push(late, Ticket { useful_until, deadline, ..ticket(id) });
     }
-    assert_eq!(queue.pop(|_| false).map(|ticket| ticket.attempt.0), Some(2));
+    assert_eq!(queue.pop(|_| true, |_| false).map(|ticket| ticket.attempt.0), Some(2));
 }
