--- a/crates/medlarpoint_daemon/src/lib.rs
+++ b/crates/medlarpoint_daemon/src/lib.rs
@@ -20,6 +20,7 @@
 mod metrics;
 mod outbound;
 mod pace;
+mod packing;
 mod peer;
 mod pool;
 mod reader;
--- a/crates/medlarpoint_daemon/src/peer.rs
+++ b/crates/medlarpoint_daemon/src/peer.rs
@@ -24,7 +24,7 @@
 use crate::pool::ExchangeError;
 use crate::server::accept;
 use crate::state::{Shared, lock};
-use crate::{header, services};
+use crate::{header, packing, services};
 
 /// Largest control message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 2_000_000;
@@ -51,6 +51,8 @@
     #[error("the answer cannot be read: {0}")]
     Body(String),
     #[error(transparent)]
+    Packed(#[from] packing::Malformed),
+    #[error(transparent)]
     Decode(#[from] DecodeError),
     #[error(transparent)]
     Encode(#[from] EncodeError),
@@ -101,14 +103,20 @@
         .uri(path)
         .header(http::header::HOST, to.to_string())
         .header(header::FLEET, shared.fleet().as_str())
+        .header(http::header::ACCEPT_ENCODING, packing::LZ4)
         .body(Body::whole(message.into()))?;
     let exchange = async {
         let (response, lease) = shared.pool.exchange(to, request, true).await?;
         let status = response.status();
+        let packed = packing::is_packed(response.headers());
         let body = Limited::new(response.into_body(), MAX_MESSAGE_BYTES).collect().await;
         let bytes = body.map_err(|e| RequestError::Body(e.to_string()))?.to_bytes();
         lease.complete();
-        if status == StatusCode::OK { Ok(bytes) } else { Err(RequestError::Status(status)) }
+        match status {
+            StatusCode::OK if packed => Ok(packing::unpack(&bytes, MAX_MESSAGE_BYTES)?),
+            StatusCode::OK => Ok(bytes),
+            _ => Err(RequestError::Status(status)),
+        }
     };
     let result = tokio::time::timeout(REQUEST_TIMEOUT, exchange).await;
     result.map_err(|_| RequestError::Timeout)?
@@ -206,11 +214,13 @@
     concurrent: &Semaphore,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
+    let packs = packing::is_accepted(request.headers());
     let answered = match concurrent.try_acquire() {
         Ok(_permit) => handle(shared, request).await,
         Err(_) => Err(RefusedError::Busy),
     };
     match answered {
+        Ok(bytes) if packs => packing::answer(bytes),
         Ok(bytes) => Response::new(Full::new(bytes.into())),
         Err(error) => {
             let mut response = Response::new(Full::new(error.to_string().into()));
