--- a/crates/medlarpoint_bench/src/bin/medlarpoint-bench.rs
+++ b/crates/medlarpoint_bench/src/bin/medlarpoint-bench.rs
@@ -8,7 +8,7 @@
 use medlarpoint_bench::experiment::{
     blocking, capacity, convergence, crest, faults, overhead, stragglers,
 };
-use medlarpoint_bench::{Failure, fuzz, node};
+use medlarpoint_bench::{Failure, fuzz, node, soak};
 use serde::Serialize;
 
 /// Experiments and long fuzz runs.
@@ -60,6 +60,8 @@
     Stragglers(stragglers::Flags),
     /// Kills, silent connections and a cut, all at once.
     Faults(faults::Flags),
+    /// Disturbs real processes from outside and checks the promises.
+    Soak(soak::Flags),
     /// Runs one daemon for an experiment.
     #[command(hide = true)]
     Node {
@@ -115,6 +117,7 @@
         Command::Blocking(flags) => print(&blocking::run(&flags).await?, format),
         Command::Stragglers(flags) => print(&stragglers::run(&flags).await?, format),
         Command::Faults(flags) => print(&faults::run(&flags).await?, format),
+        Command::Soak(flags) => run_soak(&flags, format).await,
         Command::Node { settings, watch } => match (settings, watch) {
             (Some(settings), _) => node::run(&settings).await,
             (None, Some(store)) => node::run_baseline(store).await,
@@ -123,6 +126,12 @@
     }
 }
 
+async fn run_soak(flags: &soak::Flags, format: OutputFormat) -> Result<(), Failure> {
+    let report = soak::run(flags).await?;
+    print(&report, format)?;
+    if report.broken == 0 { Ok(()) } else { Err(Failure::Broken(report.broken)) }
+}
+
 fn print<T: Serialize>(report: &T, format: OutputFormat) -> Result<(), Failure> {
     match format {
         OutputFormat::Text => println!("{}", serde_json::to_string_pretty(report)?),
--- a/crates/medlarpoint_bench/src/failure.rs
+++ b/crates/medlarpoint_bench/src/failure.rs
@@ -33,6 +33,9 @@
     /// An operator's command did not end as it must.
     #[error("{0} did not succeed")]
     Command(&'static str),
+    /// A soak found broken promises.
+    #[error("{0} promises were broken")]
+    Broken(usize),
     /// A node process misbehaved.
     #[error("node: {0}")]
     Node(String),
--- a/crates/medlarpoint_bench/src/lib.rs
+++ b/crates/medlarpoint_bench/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod node;
 mod preset;
 mod processes;
+pub mod soak;
 mod usage;
 
 pub use failure::Failure;
--- a/crates/medlarpoint_daemon/src/exchange.rs
+++ b/crates/medlarpoint_daemon/src/exchange.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, request};
-use medlarpoint_model::{Class, Name, Version, Vm};
+use medlarpoint_model::{Name, Version, Vm};
 use medlarpoint_platform::call;
 use medlarpoint_routing::{
     Ask, AttemptId, Call, CallAction, CallEvent, Choice, Final, IdempotencyKey, Known, Outcome,
@@ -337,11 +337,7 @@
             CallEvent::Answered(_, Verdict::Answer) => {
                 picker.answered(now, vm, attempt, kind, &report);
                 drop(picker);
-                let hedge = match self.plan.route.class {
-                    Class::Short => &self.service.short,
-                    Class::Long => &self.service.long,
-                };
-                lock(hedge).observe(now, took);
+                lock(&self.service.latencies).observe(now, kind, took);
             }
             CallEvent::Answered(_, verdict) => {
                 let failed = blames_target(verdict);
--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -236,7 +236,7 @@
         return None;
     }
     match plan.route.class {
-        Class::Short => lock(&service.short).delay(),
+        Class::Short => lock(&service.latencies).delay(&plan.route.name),
         Class::Long => None,
     }
 }
--- a/crates/medlarpoint_daemon/src/registry.rs
+++ b/crates/medlarpoint_daemon/src/registry.rs
@@ -30,8 +30,9 @@
 const MAX_BACKOFF: Duration = Duration::from_millis(1_200);
 /// Renewals between looks for members that membership does not know.
 const LOOK_EVERY: u32 = 8;
-/// Age up to which a daemon looks at each renewal.
-const YOUNG: Duration = Duration::from_secs(8);
+/// Renewals of a young daemon after which it looks: the first shows those that
+/// started at the same time, the other one makes up for a failure.
+const YOUNG_LOOKS: [u32; 2] = [1, 4];
 /// Unknown members joined in one look.
 const MAX_JOINED: usize = 3;
 
@@ -119,9 +120,9 @@
     }
 }
 
-/// A young daemon looks often; later one member of each data centre does.
+/// A young daemon looks for itself; later one member of each data centre does.
 fn looks(shared: &Shared, rounds: u32) -> bool {
-    if shared.now() < YOUNG {
+    if YOUNG_LOOKS.contains(&rounds) {
         return true;
     }
     if !rounds.is_multiple_of(LOOK_EVERY) {
--- a/crates/medlarpoint_daemon/src/services.rs
+++ b/crates/medlarpoint_daemon/src/services.rs
@@ -19,8 +19,7 @@
             picker: Mutex::new(Picker::new(strategy, distances, seed)),
             retries: Mutex::new(Budget::default()),
             hedges: Mutex::new(Budget::default()),
-            short: Mutex::new(Hedge::default()),
-            long: Mutex::new(Hedge::default()),
+            latencies: Mutex::new(Hedge::default()),
         }
     }
 }
--- a/crates/medlarpoint_daemon/src/startup.rs
+++ b/crates/medlarpoint_daemon/src/startup.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use medlarpoint_config::Distance;
+use medlarpoint_membership::readers;
 use medlarpoint_model::Version;
 use medlarpoint_store::Age;
 use medlarpoint_wire::Record;
@@ -12,7 +13,7 @@
 use tokio::task::JoinSet;
 
 use crate::clock::jitter;
-use crate::control::Driver;
+use crate::control::{Driver, ROLE_HOLDERS};
 use crate::event::Event;
 use crate::settings::Source;
 use crate::state::{Shared, lock};
@@ -28,6 +29,8 @@
 const FIRST_WAIT: Duration = Duration::from_millis(200);
 /// Longest wait between tries.
 const MAX_WAIT: Duration = Duration::from_millis(1_500);
+/// Time after which a daemon that knows peers asks the store again itself.
+const ASK_AGAIN: Duration = Duration::from_secs(2);
 
 /// What a round of catching up found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,8 +48,14 @@
 pub(crate) async fn catch_up(driver: Arc<Driver>) {
     let shared = Arc::clone(driver.shared());
     let mut wait = FIRST_WAIT;
+    let mut asked_at = None;
     loop {
-        let found = round(&driver).await;
+        let found = if asks_store(&shared, asked_at) {
+            asked_at = Some(shared.now());
+            round(&driver).await
+        } else {
+            follow_peers(&driver).await
+        };
         if is_enough(&shared, found) {
             driver.set_ready();
             return;
@@ -71,6 +80,27 @@
     }
 }
 
+/// Tells whether this daemon asks the store in this round. Once it knows peers,
+/// it leaves that to the fleet's readers for a while.
+fn asks_store(shared: &Shared, asked_at: Option<Duration>) -> bool {
+    let Some(asked_at) = asked_at else {
+        return true;
+    };
+    if shared.now().saturating_sub(asked_at) >= ASK_AGAIN {
+        return true;
+    }
+    let control = lock(&shared.control);
+    let me = &control.detector.me().vm;
+    let table = control.detector.table();
+    let knows_peers = table.live().any(|record| record.vm != *me);
+    !knows_peers || readers(table.live(), ROLE_HOLDERS).contains(&me)
+}
+
+/// Takes what members know, and nothing from the store.
+async fn follow_peers(driver: &Driver) -> Found {
+    if ask_peers(driver, &[]).await { Found::Peers } else { Found::Nothing }
+}
+
 /// Tells whether callers can be served with what was found.
 fn is_enough(shared: &Shared, found: Found) -> bool {
     match shared.settings.options.source {
--- a/crates/medlarpoint_daemon/src/state.rs
+++ b/crates/medlarpoint_daemon/src/state.rs
@@ -52,8 +52,8 @@
     pub(crate) picker: Mutex<Picker>,
     pub(crate) retries: Mutex<Budget>,
     pub(crate) hedges: Mutex<Budget>,
-    pub(crate) short: Mutex<Hedge>,
-    pub(crate) long: Mutex<Hedge>,
+    /// After which time calls get a second attempt.
+    pub(crate) latencies: Mutex<Hedge>,
 }
 
 /// Decisions of the control plane, under one lock since their rate is low.
--- /dev/null
+++ b/crates/medlarpoint_routing/src/hedge/tests.rs
@@ -0,0 +1,61 @@
+//! Tests of [`super`].
+
+use std::time::Duration;
+
+use medlarpoint_model::Name;
+
+use super::{HALF_WINDOW, Hedge, MAX_KINDS};
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn kind(name: &str) -> Name {
+    name.parse().unwrap()
+}
+
+fn observe(hedge: &mut Hedge, now: Duration, name: &str, count: u64, millis: u64) {
+    for _ in 0..count {
+        hedge.observe(now, &kind(name), Duration::from_millis(millis));
+    }
+}
+
+fn delay_ms(hedge: &Hedge, name: &str) -> Option<u128> {
+    hedge.delay(&kind(name)).map(|delay| delay.as_millis())
+}
+
+#[test]
+fn a_lookup_is_hedged_long_before_a_download_of_its_service() {
+    let mut hedge = Hedge::default();
+    observe(&mut hedge, NOW, "lookup", 50, 60);
+    observe(&mut hedge, NOW, "download", 500, 2_000);
+    assert_eq!(delay_ms(&hedge, "lookup"), Some(60));
+    assert!(delay_ms(&hedge, "download") >= Some(1_990));
+}
+
+#[test]
+fn nothing_is_hedged_while_too_little_is_known() {
+    let mut hedge = Hedge::default();
+    observe(&mut hedge, NOW, "lookup", 19, 60);
+    assert_eq!(delay_ms(&hedge, "lookup"), None);
+    observe(&mut hedge, NOW, "lookup", 1, 60);
+    assert_eq!(delay_ms(&hedge, "lookup"), Some(60));
+}
+
+#[test]
+fn old_latencies_are_dropped() {
+    let mut hedge = Hedge::default();
+    observe(&mut hedge, NOW, "lookup", 50, 60);
+    for turn in 1..=2 {
+        let later = NOW + (HALF_WINDOW + Duration::from_secs(1)) * turn;
+        observe(&mut hedge, later, "lookup", 50, 400);
+    }
+    assert!(delay_ms(&hedge, "lookup") >= Some(398));
+}
+
+#[test]
+fn the_number_of_kinds_is_bounded() {
+    let mut hedge = Hedge::default();
+    for other in 0..MAX_KINDS * 2 {
+        observe(&mut hedge, NOW, &format!("k{other}"), 20, 10);
+    }
+    assert_eq!(hedge.by_kind.len(), MAX_KINDS);
+}
