--- a/crates/medlarpoint_bench/src/soak.rs
+++ b/crates/medlarpoint_bench/src/soak.rs
@@ -68,6 +68,11 @@
 /// Runs a soak.
 pub async fn run(flags: &Flags) -> Result<Report, Failure> {
     let steps = plan::plan(flags.seed, Duration::from_secs(flags.seconds), flags.daemons.into());
+    if let Some(logs) = &flags.logs {
+        std::fs::create_dir_all(logs)?;
+        let lines: Vec<String> = steps.iter().map(|step| format!("{step:?}\n")).collect();
+        std::fs::write(logs.join("plan.txt"), lines.concat())?;
+    }
     let stage = Stage::start(flags).await?;
     let evidence: Evidence = stage.play(&steps).await?;
     let mut violations = judge(&evidence);
--- a/crates/medlarpoint_bench/src/soak/machine.rs
+++ b/crates/medlarpoint_bench/src/soak/machine.rs
@@ -1,7 +1,7 @@
 //! One VM of a soak: its daemon as a process, its target, and the links
 //! between them, the callers and the store.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{ExitStatus, Stdio};
 use std::time::Duration;
@@ -58,9 +58,24 @@
     Ipv4Addr::new(127, run, high, low).into()
 }
 
-/// Finds a port that is free on an address of a VM.
-fn free(ip: IpAddr) -> std::io::Result<SocketAddr> {
-    std::net::TcpListener::bind((ip, 0))?.local_addr()
+/// Ports of a daemon that nobody else gets before it has been started.
+struct Reserved([TcpListener; 4]);
+
+impl Reserved {
+    fn on(ip: IpAddr) -> std::io::Result<Self> {
+        let bind = || TcpListener::bind((ip, 0));
+        Ok(Self([bind()?, bind()?, bind()?, bind()?]))
+    }
+
+    fn listen(&self) -> std::io::Result<Listen> {
+        let [calls, inbound, peer, api] = &self.0;
+        Ok(Listen {
+            calls: calls.local_addr()?,
+            inbound: inbound.local_addr()?,
+            peer: peer.local_addr()?,
+            api: api.local_addr()?,
+        })
+    }
 }
 
 impl Machine {
@@ -74,8 +89,8 @@
         ledger: &Ledger,
     ) -> Result<Self, Failure> {
         let ip = ip(run, number);
-        let listen =
-            Listen { calls: free(ip)?, inbound: free(ip)?, peer: free(ip)?, api: free(ip)? };
+        let reserved = Reserved::on(ip)?;
+        let listen = reserved.listen()?;
         let options = TargetOptions {
             name: site.vm.clone(),
             slots: service.slots,
@@ -98,6 +113,7 @@
             child: None,
         };
         machine.write_settings()?;
+        drop(reserved);
         machine.spawn()?;
         Ok(machine)
     }
--- a/crates/medlarpoint_bench/src/soak/stage.rs
+++ b/crates/medlarpoint_bench/src/soak/stage.rs
@@ -87,9 +87,6 @@
     /// Starts the fleet and puts the first configuration in force.
     pub(crate) async fn start(flags: &Flags) -> Result<Arc<Self>, Failure> {
         let folder = TempDir::new()?;
-        if let Some(logs) = &flags.logs {
-            std::fs::create_dir_all(logs)?;
-        }
         let place = Place {
             program: program("medlarpointd")?,
             settings: folder.path().to_owned(),
--- a/crates/medlarpoint_daemon/src/startup.rs
+++ b/crates/medlarpoint_daemon/src/startup.rs
@@ -56,7 +56,7 @@
         } else {
             follow_peers(&driver).await
         };
-        if is_enough(&shared, found) {
+        if is_enough(shared.settings.options.source, found, shared.version()) {
             driver.set_ready();
             return;
         }
@@ -101,11 +101,15 @@
     if ask_peers(driver, &[]).await { Found::Peers } else { Found::Nothing }
 }
 
-/// Tells whether callers can be served with what was found.
-fn is_enough(shared: &Shared, found: Found) -> bool {
-    match shared.settings.options.source {
-        Source::Commits => found != Found::Nothing,
-        Source::Operator => shared.version() > Version::ZERO,
+/// Tells whether callers can be served with what was found. Peers without a
+/// version prove nothing: after a loss of the whole fleet all of them have
+/// forgotten it, and only the store knows whether there is one.
+fn is_enough(source: Source, found: Found, version: Version) -> bool {
+    let has_version = version > Version::ZERO;
+    match (source, found) {
+        (Source::Commits, Found::Nothing) => false,
+        (Source::Commits, Found::StoreOnly) => true,
+        (Source::Commits, Found::Peers) | (Source::Operator, _) => has_version,
     }
 }
 
@@ -121,7 +125,7 @@
     addresses.truncate(PEERS_TRIED);
     let reached = sync_with(shared, addresses).await;
     let asked = ask_peers(driver, &reached).await;
-    if asked && is_enough(shared, Found::Peers) {
+    if asked && shared.version() > Version::ZERO {
         return Found::Peers;
     }
     let read = reader::refresh(driver).await;
@@ -188,3 +192,6 @@
     }
     answered > 0
 }
+
+#[cfg(test)]
+mod tests;
