A stopping daemon answers who connects while it is still there

Of the soak itself: one end's reset reaches the other at once, and a process that has only just been started may end by the signal.

--- a/crates/medlarpoint_bench/src/soak/link.rs
+++ b/crates/medlarpoint_bench/src/soak/link.rs
@@ -114,13 +114,13 @@
     let (mut near_read, mut near_write) = near.into_split();
     let (mut far_read, mut far_write) = far.into_split();
     let both = async {
-        tokio::join!(
+        tokio::try_join!(
             copy(&mut near_read, &mut far_write, Direction::Forward, forward),
             copy(&mut far_read, &mut near_write, Direction::Backward, backward),
         )
     };
     let broken = tokio::select! {
-        (forward, backward) = both => forward.is_err() || backward.is_err(),
+        carried = both => carried.is_err(),
         // The sender is gone when the link closes.
         _ = condition.wait_for(|condition| *condition == Condition::Reset) => true,
     };
--- a/crates/medlarpoint_bench/src/soak/machine.rs
+++ b/crates/medlarpoint_bench/src/soak/machine.rs
@@ -2,9 +2,10 @@
 //! between them, the callers and the store.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
 use std::process::{ExitStatus, Stdio};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use medlarpoint_standin::{Announcer, Ledger, TargetOptions, TargetServer};
 use rustix::process::{Pid, Signal, kill_process};
@@ -17,6 +18,9 @@
 /// Longest time that a daemon may take to stop when told to.
 const STOP_LIMIT: Duration = Duration::from_secs(10);
 
+/// Longest time from a process's start until it handles signals.
+const START_TIME: Duration = Duration::from_millis(200);
+
 /// Listening addresses of a daemon.
 #[derive(Clone, Copy, Debug)]
 struct Listen {
@@ -44,6 +48,8 @@
     listen: Listen,
     place: Place,
     child: Option<Child>,
+    /// When its process was started.
+    spawned: Instant,
     callers: Link,
     store: Link,
     to_target: Link,
@@ -111,6 +117,7 @@
             listen,
             place: place.clone(),
             child: None,
+            spawned: Instant::now(),
         };
         machine.write_settings()?;
         drop(reserved);
@@ -154,6 +161,7 @@
         command.arg("--settings").arg(self.settings_path());
         command.stdin(Stdio::null()).stdout(self.log()?).stderr(self.log()?).kill_on_drop(true);
         self.child = Some(command.spawn()?);
+        self.spawned = Instant::now();
         Ok(())
     }
 
@@ -194,6 +202,18 @@
         }
     }
 
+    /// Tells a daemon to stop and waits until it has ended; tells whether it
+    /// did so in order. A process that has only just been started cannot have
+    /// said yet how it takes the signal.
+    pub(crate) async fn stop(&mut self, signal: Signal) -> bool {
+        let young = self.spawned.elapsed() < START_TIME;
+        self.signal(signal);
+        let status = self.wait().await;
+        status.is_some_and(|status| {
+            status.success() || (young && status.signal() == Some(Signal::TERM.as_raw()))
+        })
+    }
+
     /// Waits until the daemon has ended; one that does not is killed.
     pub(crate) async fn wait(&mut self) -> Option<ExitStatus> {
         let child = self.child.as_mut()?;
--- a/crates/medlarpoint_bench/tests/path.rs
+++ b/crates/medlarpoint_bench/tests/path.rs
@@ -158,3 +158,40 @@
     assert_eq!(fleet.members[2].daemon().unwrap().version(), version);
     fleet.close().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_daemon_answers_new_connections_while_it_is_there() {
+    let mut fleet = declared().await;
+    let address = fleet.calls()[1];
+    // A call that holds the daemon until its deadline of four seconds.
+    let mut long = call(&fleet, 1, "long");
+    long.headers_mut().insert("x-work-us", "9000000".parse().unwrap());
+    let held = tokio::spawn(async move { Http::new(Duration::from_secs(20)).send(long).await });
+    while fleet.members.iter().all(|m| m.target.as_ref().unwrap().served() == 0) {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let stopping = tokio::spawn(async move {
+        fleet.close_daemon(1).await;
+        fleet
+    });
+    let mut answers = Vec::new();
+    while !held.is_finished() {
+        let request = Request::builder()
+            .uri(format!("http://{address}/lookup"))
+            .header("host", "orders.talskrivarna")
+            .body(Full::new(bytes::Bytes::new()))
+            .unwrap();
+        // A new connection each time.
+        let answer = Http::new(Duration::from_secs(2)).send(request).await;
+        answers.push(answer.map(|response| response.status()));
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    // The last one may have come when the daemon was gone.
+    answers.pop();
+    let good = [StatusCode::OK, StatusCode::SERVICE_UNAVAILABLE];
+    let broken: Vec<_> =
+        answers.iter().filter(|a| !a.as_ref().is_ok_and(|s| good.contains(s))).collect();
+    assert!(broken.is_empty(), "{} of {}: {:?}", broken.len(), answers.len(), broken[0]);
+    assert!(answers.iter().any(|a| a.as_ref().is_ok_and(|s| *s == good[1])));
+    stopping.await.unwrap().close().await;
+}
--- a/crates/medlarpoint_daemon/src/bin/medlarpointd.rs
+++ b/crates/medlarpoint_daemon/src/bin/medlarpointd.rs
@@ -66,10 +66,11 @@
     let metrics = install_metrics()?;
     let runtime = runtime(settings.options.workers)?;
     let result = runtime.block_on(async {
-        let daemon = Daemon::start(settings, log.clone(), Some(metrics)).await?;
+        // Before the start, so that an early order to stop is obeyed in order.
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
         let mut hangup = signal(SignalKind::hangup())?;
+        let daemon = Daemon::start(settings, log.clone(), Some(metrics)).await?;
         let mut look = tokio::time::interval(SETTINGS_CHECK);
         let mut seen = modified(path);
         loop {
--- a/crates/medlarpoint_daemon/src/server.rs
+++ b/crates/medlarpoint_daemon/src/server.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::sync::{Notify, Semaphore};
 
 use crate::body::Body;
 use crate::event::Event;
@@ -88,7 +88,9 @@
     // Without it, answers are only slower.
     let _ = stream.set_nodelay(true);
     let limits = &shared.settings.options.limits;
+    let asked = Notify::new();
     let service = service_fn(|request| {
+        asked.notify_one();
         let answer = handle(Arc::clone(shared), request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
@@ -106,10 +108,19 @@
         .keep_alive_interval(Duration::from_secs(10));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    let last_request = async {
+        if shared.is_stopping() {
+            // Who connects now is told where the call stands before the end.
+            asked.notified().await;
+        } else {
+            wait_stopping(shared).await;
+        }
+    };
     tokio::select! {
         // A broken connection is the other end's to notice.
         _ = connection.as_mut() => return,
-        () = wait_stopping(shared) => connection.as_mut().graceful_shutdown(),
+        () = last_request => connection.as_mut().graceful_shutdown(),
+        () = shared.wait_closed() => return,
     }
     tokio::select! {
         _ = connection => {}
