--- a/crates/medlarpoint_bench/src/bin/medlarpoint-bench.rs
+++ b/crates/medlarpoint_bench/src/bin/medlarpoint-bench.rs
@@ -8,7 +8,7 @@
 use medlarpoint_bench::experiment::{
     blocking, capacity, convergence, crest, faults, overhead, stragglers,
 };
-use medlarpoint_bench::{Failure, fuzz, node, soak};
+use medlarpoint_bench::{Failure, fuzz, node, report, soak};
 use serde::Serialize;
 
 /// Experiments and long fuzz runs.
@@ -60,6 +60,8 @@
     Stragglers(stragglers::Flags),
     /// Kills, silent connections and a cut, all at once.
     Faults(faults::Flags),
+    /// Draws figures from the journal and from experiments.
+    Report(report::Flags),
     /// Disturbs real processes from outside and checks the promises.
     Soak(soak::Flags),
     /// Runs one daemon for an experiment.
@@ -117,6 +119,7 @@
         Command::Blocking(flags) => print(&blocking::run(&flags).await?, format),
         Command::Stragglers(flags) => print(&stragglers::run(&flags).await?, format),
         Command::Faults(flags) => print(&faults::run(&flags).await?, format),
+        Command::Report(flags) => print(&report::run(&flags)?, format),
         Command::Soak(flags) => run_soak(&flags, format).await,
         Command::Node { settings, watch } => match (settings, watch) {
             (Some(settings), _) => node::run(&settings).await,
--- a/crates/medlarpoint_bench/src/experiment/crest.rs
+++ b/crates/medlarpoint_bench/src/experiment/crest.rs
@@ -45,6 +45,8 @@
     pub refused: u64,
     /// Calls without a good answer or a refusal.
     pub lost: u64,
+    /// Good answers in each second.
+    pub good_by_second: Vec<u64>,
 }
 
 /// Figures.
@@ -86,9 +88,15 @@
         good_p99_ms: quantile_ms(&tally.good, 0.99),
         refused: tally.refused.len(),
         lost: tally.unknown + tally.failed,
+        good_by_second: by_second(tally),
     }
 }
 
+fn by_second(tally: &Tally) -> Vec<u64> {
+    let last = tally.good_by_second.keys().max().copied().unwrap_or_default();
+    (0..=last).map(|second| tally.good_by_second.get(&second).copied().unwrap_or(0)).collect()
+}
+
 /// Runs the experiment.
 pub async fn run(flags: &Flags) -> Result<Report, Failure> {
     let setting = &flags.setting;
--- a/crates/medlarpoint_bench/src/failure.rs
+++ b/crates/medlarpoint_bench/src/failure.rs
@@ -1,5 +1,9 @@
 //! Failures of experiments.
 
+use std::error::Error;
+
+use plotters::drawing::DrawingAreaErrorKind;
+
 /// Why an experiment could not be carried out.
 #[derive(Debug, thiserror::Error)]
 pub enum Failure {
@@ -33,6 +37,9 @@
     /// An operator's command did not end as it must.
     #[error("{0} did not succeed")]
     Command(&'static str),
+    /// A figure could not be drawn.
+    #[error("a figure cannot be drawn: {0}")]
+    Drawing(String),
     /// A soak found broken promises.
     #[error("{0} promises were broken")]
     Broken(usize),
@@ -40,3 +47,9 @@
     #[error("node: {0}")]
     Node(String),
 }
+
+impl<E: Error + Send + Sync> From<DrawingAreaErrorKind<E>> for Failure {
+    fn from(error: DrawingAreaErrorKind<E>) -> Self {
+        Self::Drawing(error.to_string())
+    }
+}
--- a/crates/medlarpoint_bench/src/lib.rs
+++ b/crates/medlarpoint_bench/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod node;
 mod preset;
 mod processes;
+pub mod report;
 pub mod soak;
 mod usage;
 
