--- a/crates/medlarpoint_daemon/src/api.rs
+++ b/crates/medlarpoint_daemon/src/api.rs
@@ -14,12 +14,11 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use schemars::JsonSchema;
 use serde::Deserialize;
-use subtle::ConstantTimeEq;
 
 use crate::commit::{self, CommitError};
 use crate::control::Driver;
 use crate::traffic::Reading;
-use crate::{explain, target, view};
+use crate::{explain, target, token, view};
 
 /// Longest wait of a status request.
 const MAX_WAIT: Duration = Duration::from_secs(30);
@@ -69,24 +68,16 @@
     HttpError::for_client_error(Some(code.to_owned()), status, message)
 }
 
-/// Lets writes through that carry the token; without one set, those from this
-/// machine.
 fn authorize(request: &RequestContext<Context>) -> Result<(), HttpError> {
-    let shared = request.context().driver.shared();
-    let Some(token) = &shared.settings.token else {
-        if request.request.remote_addr().ip().is_loopback() {
-            return Ok(());
-        }
-        let message = "writes are taken from this machine only: set api.token_file".to_owned();
-        return Err(client_error("forbidden", ClientErrorStatusCode::FORBIDDEN, message));
-    };
-    let given = request.request.headers().get(http::header::AUTHORIZATION);
-    let given = given.and_then(|value| value.as_bytes().strip_prefix(b"Bearer "));
-    if given.is_some_and(|given| bool::from(given.ct_eq(token.as_bytes()))) {
-        return Ok(());
-    }
-    let message = "writes need the bearer token of this fleet".to_owned();
-    Err(client_error("unauthorized", ClientErrorStatusCode::UNAUTHORIZED, message))
+    let token = request.context().driver.shared().settings.token.as_deref();
+    let sender = request.request.remote_addr().ip();
+    token::check(token, sender, request.request.headers()).map_err(|refused| {
+        let (code, status) = match refused {
+            token::Refused::Remote => ("forbidden", ClientErrorStatusCode::FORBIDDEN),
+            token::Refused::Token => ("unauthorized", ClientErrorStatusCode::UNAUTHORIZED),
+        };
+        client_error(code, status, refused.to_string())
+    })
 }
 
 impl From<CommitError> for HttpError {
--- a/crates/medlarpoint_daemon/src/lib.rs
+++ b/crates/medlarpoint_daemon/src/lib.rs
@@ -34,6 +34,7 @@
 mod startup;
 mod state;
 mod target;
+mod token;
 mod traffic;
 mod verdict;
 mod view;
--- /dev/null
+++ b/crates/medlarpoint_daemon/src/token/tests.rs
@@ -0,0 +1,39 @@
+//! Tests of [`super`].
+
+use std::net::{IpAddr, Ipv4Addr};
+
+use http::{HeaderMap, HeaderValue};
+
+use super::{Refused, check};
+
+const TOKEN: &str = "a token of enough bytes";
+const LOCAL: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+const REMOTE: IpAddr = IpAddr::V4(Ipv4Addr::new(10, 0, 0, 1));
+
+fn authorization(text: &str) -> HeaderMap {
+    let value = HeaderValue::from_str(text).expect("a header");
+    [(http::header::AUTHORIZATION, value)].into_iter().collect()
+}
+
+#[test]
+fn without_a_token_only_this_machine_may_write() {
+    assert_eq!(check(None, LOCAL, &HeaderMap::new()), Ok(()));
+    assert_eq!(check(None, REMOTE, &HeaderMap::new()), Err(Refused::Remote));
+}
+
+#[test]
+fn with_a_token_everybody_needs_it() {
+    let good = authorization(&format!("Bearer {TOKEN}"));
+    for sender in [LOCAL, REMOTE] {
+        assert_eq!(check(Some(TOKEN), sender, &good), Ok(()));
+        assert_eq!(check(Some(TOKEN), sender, &HeaderMap::new()), Err(Refused::Token));
+    }
+}
+
+#[test]
+fn what_is_only_like_the_token_is_refused() {
+    let wrong = ["Bearer ", "Bearer a token of enough byte", "Bearer a token of enough bytes!"];
+    for text in wrong.into_iter().map(str::to_owned).chain([format!("Basic {TOKEN}")]) {
+        assert_eq!(check(Some(TOKEN), LOCAL, &authorization(&text)), Err(Refused::Token), "{text}");
+    }
+}
