When the store's readers fall silent, a few daemons of a region read first

Now a daemon's rank in its region decides when it begins, and the first four pass their readings on.

--- a/crates/medlarpoint_daemon/src/control.rs
+++ b/crates/medlarpoint_daemon/src/control.rs
@@ -7,7 +7,8 @@
 
 use medlarpoint_config::{Distance, Offer, Order, Rejection};
 use medlarpoint_membership::{
-    Action, Event as MemberEvent, Reading as StoreReading, Role, rank, ranked, readers, wave,
+    Action, Event as MemberEvent, Reading as StoreReading, Role, fallback, rank, ranked, readers,
+    wave,
 };
 use medlarpoint_model::{Delta, Region, Vm};
 use medlarpoint_wire::{Body, Frame, Gossip, PROTOCOL, Record, Tip, Update, encode};
@@ -243,7 +244,8 @@
         let now = self.shared.now();
         let seq = control.freshness.read(now);
         let me = control.detector.me();
-        if !readers(control.detector.table().live(), ROLE_HOLDERS).contains(&&me.vm) {
+        let reads = readers(control.detector.table().live(), ROLE_HOLDERS).contains(&&me.vm);
+        if !reads && !fallback::passes_on(Self::gateway_rank(&control)) {
             return;
         }
         let (origin, boot) = (me.vm.clone(), me.boot);
@@ -272,15 +274,20 @@
         }
     }
 
+    /// Returns this daemon's place among those that reach out for its region.
+    pub(crate) fn gateway_rank(control: &Control) -> usize {
+        let me = control.detector.me();
+        let members = control.detector.table().live();
+        let members = members.filter(|record| record.region == me.region);
+        rank(Role::Gateway, &me.vm, members.map(|record| &record.vm))
+    }
+
     /// Returns this daemon's place among those that fetch for others.
     pub(crate) fn order(control: &Control, role: Role) -> Order {
         let me = control.detector.me();
         let table = control.detector.table();
         let place = match role {
-            Role::Gateway => {
-                let members = table.live().filter(|record| record.region == me.region);
-                rank(role, &me.vm, members.map(|record| &record.vm))
-            }
+            Role::Gateway => Self::gateway_rank(control),
             Role::Relay | Role::Reader | Role::Reporter => {
                 rank(role, &me.vm, table.live_in(&me.data_centre).map(|record| &record.vm))
             }
--- a/crates/medlarpoint_daemon/src/reader.rs
+++ b/crates/medlarpoint_daemon/src/reader.rs
@@ -1,8 +1,9 @@
 //! Reads the configuration from the store.
 //!
 //! Two readers watch it for the whole fleet. Everybody else learns of new
-//! versions, and of how long ago the store was read, from the members, and
-//! reads the store itself only when that is too long ago.
+//! versions, and of how long ago the store was read, from the members. Only
+//! when that is too long ago some read the store themselves, a few of each
+//! region first.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,7 +11,7 @@
 use medlarpoint_config::{
     Action, CorruptHead, Head, Published, Rejection, Reply, Restore, checkpoint_key, head_key,
 };
-use medlarpoint_membership::readers;
+use medlarpoint_membership::{fallback, readers};
 use medlarpoint_model::Snapshot;
 use medlarpoint_platform::operator;
 use medlarpoint_store::{Age, Error, Item, Key, Revision, Store};
@@ -100,7 +101,8 @@
         return Duty::Watch;
     }
     let age = control.freshness.age(shared.now());
-    if age >= STALE { Duty::Read } else { Duty::Rest(STALE.saturating_sub(age)) }
+    let stale = STALE + fallback::delay(Driver::gateway_rank(&control));
+    if age >= stale { Duty::Read } else { Duty::Rest(stale.saturating_sub(age)) }
 }
 
 /// Follows the changes of one key.
--- a/crates/medlarpoint_membership/src/lib.rs
+++ b/crates/medlarpoint_membership/src/lib.rs
@@ -6,6 +6,7 @@
 //! version a data centre has in force.
 
 mod detector;
+pub mod fallback;
 mod freshness;
 mod member;
 mod occupant;
