The life of a daemon in one place; a late call costs 1.5 s on the scale of distances

Seven of the fields of Shared (ready, stop, stopping, calls, connections, changes, closed) become Life, with its own tests.

A target that would serve late costs 1,500 ms instead of 300: a large answer that its zone's links cannot carry in time now goes to the next zone.

--- a/crates/medlarpoint_daemon/src/api.rs
+++ b/crates/medlarpoint_daemon/src/api.rs
@@ -172,7 +172,7 @@
     let waiting = waiting.into_inner();
     if let Some(seen) = waiting.seen {
         let wait = waiting.wait_ms.map_or(MAX_WAIT, Duration::from_millis).min(MAX_WAIT);
-        let mut changes = shared.changes.subscribe();
+        let mut changes = shared.life.changes();
         // Without a change in time, the present status is the answer.
         let _ = tokio::time::timeout(wait, changes.wait_for(|count| *count != seen)).await;
     }
--- a/crates/medlarpoint_daemon/src/control.rs
+++ b/crates/medlarpoint_daemon/src/control.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use medlarpoint_config::{Distance, Offer, Order, Rejection};
@@ -50,7 +49,7 @@
         loop {
             let received = tokio::select! {
                 received = self.socket.recv_from(&mut buffer) => received,
-                () = self.shared.wait_closed() => return,
+                () = self.shared.life.wait_closed() => return,
             };
             // An error tells of an earlier datagram that nobody took.
             let Ok((size, from)) = received else {
@@ -81,7 +80,7 @@
             }
             tokio::select! {
                 _ = timer.tick() => {}
-                () = self.shared.wait_closed() => return,
+                () = self.shared.life.wait_closed() => return,
             }
             let actions = {
                 let mut control = lock(&self.shared.control);
@@ -126,7 +125,7 @@
             tokio::select! {
                 () = self.shared.pull.notified() => {}
                 () = tokio::time::sleep_until(self.shared.clock.instant(wake)) => {}
-                () = self.shared.wait_closed() => return,
+                () = self.shared.life.wait_closed() => return,
             }
         }
     }
@@ -189,7 +188,7 @@
         self.refresh_policy();
         self.announce(control, tip);
         self.report(control);
-        self.shared.changed();
+        self.shared.life.changed();
     }
 
     /// Gives the inbound proxy the policy of its target's service.
@@ -374,7 +373,7 @@
                         let event = Event::InForce { data_centre: place.clone(), version };
                         self.shared.emit(&event);
                     }
-                    self.shared.changed();
+                    self.shared.life.changed();
                 }
                 MemberEvent::Paused(gap) => {
                     self.shared.emit(&Event::Paused { ms: gap.as_millis() });
@@ -383,7 +382,7 @@
         }
         if members_changed {
             services::refresh(&self.shared, control);
-            self.shared.changed();
+            self.shared.life.changed();
         }
     }
 
@@ -397,7 +396,7 @@
             actions
         };
         self.perform(actions);
-        self.shared.changed();
+        self.shared.life.changed();
     }
 
     /// Tells others that this daemon leaves.
@@ -462,9 +461,8 @@
                 control.applied_ms = wall_ms();
             }
         }
-        self.shared.ready.store(true, Ordering::Release);
         self.shared.emit(&Event::Ready { version: self.shared.version() });
-        self.shared.changed();
+        self.shared.life.serve();
     }
 }
 
--- a/crates/medlarpoint_daemon/src/daemon.rs
+++ b/crates/medlarpoint_daemon/src/daemon.rs
@@ -3,8 +3,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Mutex, OnceLock, RwLock};
+use std::sync::{Mutex, RwLock};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -18,17 +17,18 @@
 use medlarpoint_wire::{Boot, Record, Status};
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::{Notify, watch};
+use tokio::sync::Notify;
 
 use crate::clock::{Clock, wall_ms};
 use crate::control::Driver;
 use crate::event::Event;
+use crate::life::{Life, Stop};
 use crate::log::Log;
 use crate::pace::Pace;
 use crate::pool::Pool;
 use crate::server::{self, Listener};
 use crate::settings::Settings;
-use crate::state::{Control, InForce, Live, Shared, Stop, lock};
+use crate::state::{Control, InForce, Live, Shared, lock};
 use crate::traffic::{Reading, Traffic};
 use crate::{api, local, peer, reader, registry, reload, startup, target, view};
 
@@ -190,7 +190,7 @@
     /// Waits until a version later than `version` is in force.
     pub async fn wait_later(&self, version: Version) -> Version {
         let shared = self.driver.shared();
-        let mut changes = shared.changes.subscribe();
+        let mut changes = shared.life.changes();
         loop {
             let current = shared.version();
             if current > version || changes.changed().await.is_err() {
@@ -201,7 +201,7 @@
 
     /// Tells whether callers are served.
     pub fn is_ready(&self) -> bool {
-        self.driver.shared().is_ready()
+        self.driver.shared().life.is_ready()
     }
 
     /// Returns the status that operators see.
@@ -235,8 +235,7 @@
         let (now, whole) = (shared.now(), shared.settings.drain_timeout);
         let last_call = now + LAST_CALL.min(whole / 2);
         let last_answer = now + whole.saturating_sub(ANSWER_MARGIN);
-        // A second order to stop changes nothing.
-        let _ = shared.stop.set(Stop { last_call, last_answer });
+        shared.life.begin_stop(Stop { last_call, last_answer });
         let start = tokio::time::Instant::now();
         // Callers need a while to go elsewhere, and so long the target serves.
         tokio::time::sleep(SERVE_TIME.min(whole / 4)).await;
@@ -250,10 +249,9 @@
             tokio::time::Instant::now() >= leave && lock(&shared.intake).unfinished() == 0
         })
         .await;
-        shared.stopping.store(true, Ordering::Release);
-        shared.changed();
+        shared.life.end_calls();
         // An answer may still be on its way out when its call has ended.
-        let done = || shared.connections.load(Ordering::Acquire) == 0 && unfinished(&shared) == 0;
+        let done = || !shared.life.has_connections() && unfinished(&shared) == 0;
         if !wait_until(deadline, done).await {
             shared.emit(&Event::DrainTimeout { unfinished: unfinished(&shared) });
         }
@@ -268,7 +266,7 @@
     }
 
     async fn stop(self, shared: &Shared) {
-        shared.closed.send_replace(true);
+        shared.life.close();
         match tokio::time::timeout(API_CLOSE_TIMEOUT, self.api.close()).await {
             Ok(Ok(())) => {}
             Ok(Err(reason)) => shared.emit(&Event::ApiFailed { reason }),
@@ -295,8 +293,7 @@
 
 /// Returns the calls in flight on either side.
 fn unfinished(shared: &Shared) -> usize {
-    let outbound = shared.outbound_calls.load(Ordering::Acquire) as usize;
-    lock(&shared.intake).unfinished() + outbound
+    lock(&shared.intake).unfinished() + shared.life.calls()
 }
 
 fn share(settings: Settings, log: Log, addresses: Addresses) -> Shared {
@@ -357,14 +354,8 @@
         claim_lease: tokio::sync::Mutex::default(),
         pace: Pace::default(),
         pool: Arc::new(Pool::default()),
-        ready: AtomicBool::new(false),
-        stop: OnceLock::new(),
-        stopping: AtomicBool::new(false),
-        outbound_calls: AtomicU64::new(0),
-        connections: AtomicU64::new(0),
+        life: Life::default(),
         pull: Notify::new(),
-        changes: watch::Sender::new(0),
-        closed: watch::Sender::new(false),
     }
 }
 
--- a/crates/medlarpoint_daemon/src/lib.rs
+++ b/crates/medlarpoint_daemon/src/lib.rs
@@ -14,6 +14,7 @@
 mod handover;
 mod header;
 mod inbound;
+mod life;
 mod limit;
 mod local;
 mod log;
--- a/crates/medlarpoint_daemon/src/local.rs
+++ b/crates/medlarpoint_daemon/src/local.rs
@@ -32,7 +32,7 @@
     serve(&shared, listener, move |request| {
         let status = if !ready::is_question(request.method(), request.uri().path()) {
             StatusCode::NOT_FOUND
-        } else if state.takes_callers() {
+        } else if state.life.takes_callers() {
             StatusCode::OK
         } else {
             StatusCode::SERVICE_UNAVAILABLE
@@ -72,7 +72,7 @@
             tokio::select! {
                 // A broken connection is the other end's to notice.
                 _ = connection => {}
-                () = shared.wait_closed() => {}
+                () = shared.life.wait_closed() => {}
             }
         });
     }
--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -1,7 +1,6 @@
 //! The outbound proxy: takes calls from callers and brings them to a target.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -66,7 +65,7 @@
 
 /// Answers a caller.
 pub(crate) async fn serve(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
-    let _counted = Counted::new(&shared);
+    let _counted = shared.life.call();
     let started = shared.now();
     let tenant = inbound::tenant(request.headers());
     let in_force = shared.in_force.load_full();
@@ -85,7 +84,7 @@
     let class = plan.map_or("none", |plan| plan.route.class.into());
     let mut response = match plan {
         Some(plan) => route(&shared, Arc::clone(plan), request, &caller).await,
-        None if shared.is_ready() => refuse(Unroutable::NoRoute, fractional),
+        None if shared.life.is_ready() => refuse(Unroutable::NoRoute, fractional),
         None => refuse(Unroutable::Starting, fractional),
     };
     let point = header::parse::<Point>(response.headers(), &header::POINT);
@@ -101,24 +100,6 @@
     response
 }
 
-/// Counts a call while it is being answered.
-struct Counted<'a> {
-    shared: &'a Shared,
-}
-
-impl<'a> Counted<'a> {
-    fn new(shared: &'a Shared) -> Self {
-        shared.outbound_calls.fetch_add(1, Ordering::AcqRel);
-        Self { shared }
-    }
-}
-
-impl Drop for Counted<'_> {
-    fn drop(&mut self) {
-        self.shared.outbound_calls.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 fn record(response: &Response<Body>, tenant: &str, class: &'static str, took: Duration) {
     let outcome: Option<Outcome> = header::parse(response.headers(), &header::OUTCOME);
     let outcome: &'static str = outcome.map_or("ran", Into::into);
@@ -136,10 +117,10 @@
     caller: &call::Caller,
 ) -> Response<Body> {
     let refuse = |reason| refuse(reason, caller.id.is_some());
-    if !shared.is_ready() {
+    if !shared.life.is_ready() {
         return refuse(Unroutable::Starting);
     }
-    let stop = shared.stop_at();
+    let stop = shared.life.stop_at();
     if stop.is_some_and(|stop| shared.now() >= stop.last_call) {
         return refuse(Unroutable::Stopping);
     }
--- a/crates/medlarpoint_daemon/src/peer.rs
+++ b/crates/medlarpoint_daemon/src/peer.rs
@@ -205,7 +205,7 @@
     tokio::select! {
         // A broken connection is the peer's to notice.
         _ = connection => {}
-        () = closing.wait_closed() => {}
+        () = closing.life.wait_closed() => {}
     }
 }
 
--- a/crates/medlarpoint_daemon/src/server.rs
+++ b/crates/medlarpoint_daemon/src/server.rs
@@ -3,7 +3,6 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::{Request, Response};
@@ -53,12 +52,12 @@
         };
         let shared = Arc::clone(&shared);
         tokio::spawn(async move {
-            shared.connections.fetch_add(1, Ordering::AcqRel);
+            let counted = shared.life.connection();
             match kind {
                 Listener::Calls => serve_stream(&shared, stream, outbound::serve).await,
                 Listener::Inbound => serve_stream(&shared, stream, inbound::serve).await,
             }
-            shared.connections.fetch_sub(1, Ordering::AcqRel);
+            drop(counted);
             drop(permit);
         });
     }
@@ -69,7 +68,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = shared.wait_closed() => return None,
+            () = shared.life.wait_closed() => return None,
         };
         if let Ok((stream, _)) = accepted {
             return Some(stream);
@@ -109,31 +108,21 @@
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let last_request = async {
-        if shared.is_stopping() {
+        if shared.life.is_stopping() {
             // Who connects now is told where the call stands before the end.
             asked.notified().await;
         } else {
-            wait_stopping(shared).await;
+            shared.life.wait_stopping().await;
         }
     };
     tokio::select! {
         // A broken connection is the other end's to notice.
         _ = connection.as_mut() => return,
         () = last_request => connection.as_mut().graceful_shutdown(),
-        () = shared.wait_closed() => return,
+        () = shared.life.wait_closed() => return,
     }
     tokio::select! {
         _ = connection => {}
-        () = shared.wait_closed() => {}
-    }
-}
-
-/// Waits until a planned stop has let its last call in.
-async fn wait_stopping(shared: &Shared) {
-    let mut changes = shared.changes.subscribe();
-    while !shared.is_stopping() {
-        if changes.changed().await.is_err() {
-            return;
-        }
+        () = shared.life.wait_closed() => {}
     }
 }
--- a/crates/medlarpoint_daemon/src/state.rs
+++ b/crates/medlarpoint_daemon/src/state.rs
@@ -6,8 +6,7 @@
 //! one worker ask for a lease at a time.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -20,11 +19,12 @@
 use medlarpoint_routing::{Budget, Hedge, Intake, Patience, Picker, Routes};
 use medlarpoint_store::LeaseId;
 use medlarpoint_wire::{Record, Stage, Tip};
-use tokio::sync::{Notify, watch};
+use tokio::sync::Notify;
 
 use crate::clock::Clock;
 use crate::event::Event;
 use crate::inbound::{Kept, Waiters};
+use crate::life::Life;
 use crate::log::Log;
 use crate::pace::Pace;
 use crate::pool::Pool;
@@ -94,15 +94,6 @@
     pub(crate) silent: bool,
 }
 
-/// The times of a planned stop, on the local clock.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Stop {
-    /// Calls that come later are refused.
-    pub(crate) last_call: Duration,
-    /// Calls are answered by then.
-    pub(crate) last_answer: Duration,
-}
-
 /// Settings that may change while the daemon runs.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Live {
@@ -141,21 +132,9 @@
     pub(crate) claim_lease: tokio::sync::Mutex<Option<(LeaseId, Duration)>>,
     pub(crate) pace: Pace,
     pub(crate) pool: Arc<Pool>,
-    pub(crate) ready: AtomicBool,
-    /// Set once a planned stop has begun: no new callers should come.
-    pub(crate) stop: OnceLock<Stop>,
-    /// A planned stop lets no more calls in.
-    pub(crate) stopping: AtomicBool,
-    /// Calls from callers that are not answered yet.
-    pub(crate) outbound_calls: AtomicU64,
-    /// Open connections of callers and of other daemons' outbound proxies.
-    pub(crate) connections: AtomicU64,
+    pub(crate) life: Life,
     /// Wakes the pull loop.
     pub(crate) pull: Notify,
-    /// Counts changes that operators can watch.
-    pub(crate) changes: watch::Sender<u64>,
-    /// Set once the daemon closes.
-    pub(crate) closed: watch::Sender<bool>,
 }
 
 /// Locks a table. A worker that panicked leaves tables whose invariants hold
@@ -178,33 +157,10 @@
         self.log.emit_call(event);
     }
 
-    /// Tells those who watch that something has changed.
-    pub(crate) fn changed(&self) {
-        self.changes.send_modify(|count| *count += 1);
-    }
-
     pub(crate) fn fleet(&self) -> &Name {
         &self.settings.options.fleet
     }
 
-    pub(crate) fn is_ready(&self) -> bool {
-        self.ready.load(Ordering::Acquire)
-    }
-
-    /// Tells whether new callers should come.
-    pub(crate) fn takes_callers(&self) -> bool {
-        self.is_ready() && self.stop_at().is_none()
-    }
-
-    /// Returns the times of the planned stop, once it has begun.
-    pub(crate) fn stop_at(&self) -> Option<Stop> {
-        self.stop.get().copied()
-    }
-
-    pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Acquire)
-    }
-
     pub(crate) fn distance(&self, record: &Record) -> Distance {
         let options = &self.settings.options;
         if record.data_centre == options.data_centre {
@@ -235,11 +191,4 @@
         let services = self.services.read().unwrap_or_else(PoisonError::into_inner);
         services.get(name).cloned()
     }
-
-    /// Waits until the daemon closes.
-    pub(crate) async fn wait_closed(&self) {
-        let mut closed = self.closed.subscribe();
-        // An error means that the daemon is gone, which is closed as well.
-        let _ = closed.wait_for(|closed| *closed).await;
-    }
 }
--- a/crates/medlarpoint_daemon/src/target.rs
+++ b/crates/medlarpoint_daemon/src/target.rs
@@ -197,7 +197,7 @@
     let actions = {
         let now = shared.now();
         let mut intake = lock(&shared.intake);
-        intake.set_draining(draining || shared.stop_at().is_some());
+        intake.set_draining(draining || shared.life.stop_at().is_some());
         intake.gate_mut().set_slots(if draining { state.slots } else { usable }, now);
         // What waits is better served elsewhere.
         if draining { intake.bounce(now) } else { Vec::new() }
@@ -218,7 +218,7 @@
     loop {
         tokio::select! {
             _ = timer.tick() => {}
-            () = shared.wait_closed() => return,
+            () = shared.life.wait_closed() => return,
         }
         let actions = {
             let now = shared.now();
--- a/crates/medlarpoint_daemon/src/view.rs
+++ b/crates/medlarpoint_daemon/src/view.rs
@@ -35,11 +35,11 @@
     let down = control.store_down.clone();
     let tip = control.replica.tip();
     Status {
-        change: *shared.changes.borrow(),
+        change: *shared.life.changes().borrow(),
         vm: options.vm.clone(),
         data_centre: options.data_centre.clone(),
         region: options.region.clone(),
-        serving: shared.is_ready() && !shared.is_stopping(),
+        serving: shared.life.is_ready() && !shared.life.is_stopping(),
         waiting: control.waiting.clone(),
         version: tip.version,
         digest: tip.digest,
--- a/crates/medlarpoint_routing/src/picker.rs
+++ b/crates/medlarpoint_routing/src/picker.rs
@@ -14,8 +14,9 @@
 
 /// Service time assumed while no target has answered a kind of call.
 const UNKNOWN_SERVICE: Duration = Duration::from_millis(20);
-/// What being late costs a call that queues at a busy target.
-const LATE_COST: Duration = Duration::from_millis(300);
+/// What being late costs a call that queues at a busy target, on the scale of
+/// [`Distances`].
+const LATE_COST: Duration = Duration::from_millis(1_500);
 /// Share by which costs are varied, so that proxies with the same view do not
 /// all choose the same target.
 const VARIATION: f64 = 0.15;
