--- a/crates/medlarpoint_bench/src/fuzz/config.rs
+++ b/crates/medlarpoint_bench/src/fuzz/config.rs
@@ -1,6 +1,8 @@
 //! Commits, propagation and recovery against an oracle of accepted versions.
 
-use std::collections::{BTreeMap, HashSet};
+mod oracle;
+mod step;
+
 use std::marker::PhantomData;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,12 +13,14 @@
 };
 use medlarpoint_model::{
     Change, CommitId, Key, Kind, Matcher, Name, Policy, Resource, Route, Service, Snapshot,
-    Version, Vm, validate,
+    Version, Vm,
 };
 use medlarpoint_store::{Error, Expected, Item, Key as StoreKey, Table};
 use medlarpoint_wire::{Pull, Update};
-use proptest::prelude::*;
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+use proptest_state_machine::StateMachineTest;
+
+use oracle::Oracle;
+use step::{Fate, Op, Steps, Transition};
 
 /// Daemons in the model.
 const NODES: usize = 5;
@@ -46,164 +50,6 @@
 #[derive(Debug)]
 pub struct Config<P>(PhantomData<P>);
 
-/// An edit in terms of small numbers.
-#[derive(Clone, Debug)]
-pub enum Op {
-    PutService(u8, bool),
-    PutRoute(u8, u8),
-    PutPolicy(u8, u8),
-    DeleteService(u8),
-    DeleteRoute(u8),
-    DeletePolicy(u8),
-}
-
-/// What happens to a store call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fate {
-    Normal,
-    Down,
-    LostBefore,
-    LostAfter,
-    /// The request is held up and may arrive much later.
-    Delayed,
-}
-
-/// A step.
-#[derive(Clone, Debug)]
-pub enum Transition {
-    Propose { node: usize, ops: Vec<Op>, checked: bool },
-    Store { attempt: usize, fate: Fate },
-    GiveUp { attempt: usize },
-    Resend { node: usize },
-    Burst { node: usize, count: u8 },
-    ArriveLate { which: usize },
-    Read { node: usize },
-    Capture { node: usize },
-    Resume { node: usize },
-    Announce { from: usize, to: usize },
-    Ask { node: usize },
-    Answer { which: usize },
-    Deliver { which: usize, again: bool },
-    Lose { which: usize },
-    Tamper { which: usize },
-    Pass { ms: u16 },
-    Restart { node: usize },
-    Backup,
-    RestoreBackup { node: usize },
-    Quiet,
-}
-
-/// Generates steps; it needs no state, since any step is allowed at any time.
-#[derive(Debug)]
-pub struct Steps;
-
-impl ReferenceStateMachine for Steps {
-    type State = ();
-    type Transition = Transition;
-
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
-    }
-
-    fn transitions((): &()) -> BoxedStrategy<Transition> {
-        let node = || 0..NODES;
-        let which = || 0..8_usize;
-        let op = prop_oneof![
-            4 => (0..3_u8, any::<bool>()).prop_map(|(s, p)| Op::PutService(s, p)),
-            4 => (0..4_u8, 0..3_u8).prop_map(|(r, s)| Op::PutRoute(r, s)),
-            2 => (0..2_u8, 1..100_u8).prop_map(|(p, v)| Op::PutPolicy(p, v)),
-            1 => (0..3_u8).prop_map(Op::DeleteService),
-            1 => (0..4_u8).prop_map(Op::DeleteRoute),
-            1 => (0..2_u8).prop_map(Op::DeletePolicy),
-        ];
-        let fate = prop_oneof![
-            12 => Just(Fate::Normal),
-            1 => Just(Fate::Down),
-            1 => Just(Fate::LostBefore),
-            2 => Just(Fate::LostAfter),
-            1 => Just(Fate::Delayed),
-        ];
-        prop_oneof![
-            8 => (node(), prop::collection::vec(op, 1..4), any::<bool>())
-                .prop_map(|(node, ops, checked)| Transition::Propose { node, ops, checked }),
-            40 => (0..3_usize, fate)
-                .prop_map(|(attempt, fate)| Transition::Store { attempt, fate }),
-            1 => (0..3_usize).prop_map(|attempt| Transition::GiveUp { attempt }),
-            2 => node().prop_map(|node| Transition::Resend { node }),
-            1 => (node(), 1..30_u8).prop_map(|(node, count)| Transition::Burst { node, count }),
-            2 => which().prop_map(|which| Transition::ArriveLate { which }),
-            4 => node().prop_map(|node| Transition::Read { node }),
-            2 => node().prop_map(|node| Transition::Capture { node }),
-            2 => node().prop_map(|node| Transition::Resume { node }),
-            6 => (node(), node()).prop_map(|(from, to)| Transition::Announce { from, to }),
-            8 => node().prop_map(|node| Transition::Ask { node }),
-            8 => which().prop_map(|which| Transition::Answer { which }),
-            8 => (which(), any::<bool>())
-                .prop_map(|(which, again)| Transition::Deliver { which, again }),
-            2 => which().prop_map(|which| Transition::Lose { which }),
-            2 => which().prop_map(|which| Transition::Tamper { which }),
-            4 => (1..3_000_u16).prop_map(|ms| Transition::Pass { ms }),
-            1 => node().prop_map(|node| Transition::Restart { node }),
-            1 => Just(Transition::Backup),
-            1 => node().prop_map(|node| Transition::RestoreBackup { node }),
-            1 => Just(Transition::Quiet),
-        ]
-        .boxed()
-    }
-
-    fn apply((): (), _: &Transition) {}
-}
-
-/// Knows every accepted version and what was said of each commit.
-#[derive(Debug, Default)]
-struct Oracle {
-    /// Content of each accepted version.
-    accepted: BTreeMap<Version, BTreeMap<Key, Resource>>,
-    commits: HashSet<CommitId>,
-    refused: HashSet<CommitId>,
-}
-
-impl Oracle {
-    /// Takes the head after each store write.
-    fn observe(&mut self, head: &Head) {
-        for delta in &head.deltas {
-            if self.accepted.contains_key(&delta.version) {
-                continue;
-            }
-            let before = Version(delta.version.0 - 1);
-            let mut content = self.accepted.get(&before).cloned().unwrap_or_default();
-            for change in &delta.changes {
-                match change {
-                    Change::Put(resource) => content.insert(resource.key(), resource.clone()),
-                    Change::Delete(key) => content.remove(key),
-                };
-            }
-            self.accepted.insert(delta.version, content);
-            assert!(self.commits.insert(delta.commit), "a commit took effect twice");
-            assert!(!self.refused.contains(&delta.commit), "a refused commit took effect");
-        }
-    }
-
-    fn newest(&self) -> Version {
-        self.accepted.keys().next_back().copied().unwrap_or_default()
-    }
-
-    /// Checks one daemon's configuration.
-    fn check(&self, snapshot: &Snapshot) {
-        assert!(validate(snapshot).is_ok(), "an invalid configuration is in force");
-        let empty = BTreeMap::new();
-        let wanted = if snapshot.version == Version::ZERO {
-            &empty
-        } else {
-            let found = self.accepted.get(&snapshot.version);
-            found.expect("a version is in force that was never accepted")
-        };
-        let held: BTreeMap<Key, Resource> =
-            snapshot.entries.iter().map(|(k, e)| (k.clone(), e.resource.clone())).collect();
-        assert_eq!(&held, wanted, "{} is in force in part or changed", snapshot.version);
-    }
-}
-
 #[derive(Debug)]
 struct Node {
     replica: Replica,
--- /dev/null
+++ b/crates/medlarpoint_bench/src/fuzz/config/oracle.rs
@@ -0,0 +1,56 @@
+//! Knows only what the store accepted and what was said of each commit.
+
+use std::collections::{BTreeMap, HashSet};
+
+use medlarpoint_config::Head;
+use medlarpoint_model::{Change, CommitId, Key, Resource, Snapshot, Version, validate};
+
+/// Knows every accepted version and what was said of each commit.
+#[derive(Debug, Default)]
+pub(super) struct Oracle {
+    /// Content of each accepted version.
+    pub(super) accepted: BTreeMap<Version, BTreeMap<Key, Resource>>,
+    pub(super) commits: HashSet<CommitId>,
+    pub(super) refused: HashSet<CommitId>,
+}
+
+impl Oracle {
+    /// Takes the head after each store write.
+    pub(super) fn observe(&mut self, head: &Head) {
+        for delta in &head.deltas {
+            if self.accepted.contains_key(&delta.version) {
+                continue;
+            }
+            let before = Version(delta.version.0 - 1);
+            let mut content = self.accepted.get(&before).cloned().unwrap_or_default();
+            for change in &delta.changes {
+                match change {
+                    Change::Put(resource) => content.insert(resource.key(), resource.clone()),
+                    Change::Delete(key) => content.remove(key),
+                };
+            }
+            self.accepted.insert(delta.version, content);
+            assert!(self.commits.insert(delta.commit), "a commit took effect twice");
+            assert!(!self.refused.contains(&delta.commit), "a refused commit took effect");
+        }
+    }
+
+    pub(super) fn newest(&self) -> Version {
+        self.accepted.keys().next_back().copied().unwrap_or_default()
+    }
+
+    /// Checks one daemon's configuration.
+    pub(super) fn check(&self, snapshot: &Snapshot) {
+        assert!(validate(snapshot).is_ok(), "an invalid configuration is in force");
+        let empty = BTreeMap::new();
+        let wanted = if snapshot.version == Version::ZERO {
+            &empty
+        } else {
+            let found = self.accepted.get(&snapshot.version);
+            found.expect("a version is in force that was never accepted")
+        };
+        let held: BTreeMap<Key, Resource> =
+            snapshot.entries.iter().map(|(k, e)| (k.clone(), e.resource.clone())).collect();
+        assert_eq!(&held, wanted, "{} is in force in part or changed", snapshot.version);
+    }
+}
--- a/crates/medlarpoint_bench/src/report/chart.rs
+++ b/crates/medlarpoint_bench/src/report/chart.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 
+use plotters::coord::Shift;
 use plotters::prelude::*;
 
 use crate::Failure;
@@ -20,6 +21,9 @@
     RGBColor(90, 90, 90),
 ];
 
+/// A drawing.
+type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
+
 /// Points of a line, in order.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct Series {
@@ -27,6 +31,14 @@
     pub(super) points: Vec<(f64, f64)>,
 }
 
+/// Lays out a drawing with a caption and room for the axes.
+fn layout<'a, 'b>(area: &'a Area<'b>, caption: &str) -> ChartBuilder<'a, 'b, SVGBackend<'b>> {
+    let mut chart = ChartBuilder::on(area);
+    chart.caption(caption, ("sans-serif", 18)).margin(12);
+    chart.x_label_area_size(36).y_label_area_size(48);
+    chart
+}
+
 /// Draws a line for each series.
 pub(super) fn lines(
     path: &Path,
@@ -40,12 +52,8 @@
     let top = points().map(|point| point.1).fold(1.0, f64::max);
     let area = SVGBackend::new(path, SIZE).into_drawing_area();
     area.fill(&WHITE)?;
-    let mut chart = ChartBuilder::on(&area)
-        .caption(caption, ("sans-serif", 18))
-        .margin(12)
-        .x_label_area_size(36)
-        .y_label_area_size(48)
-        .build_cartesian_2d(0.0..right * 1.02, 0.0..top * 1.05)?;
+    let mut chart =
+        layout(&area, caption).build_cartesian_2d(0.0..right * 1.02, 0.0..top * 1.05)?;
     chart.configure_mesh().x_desc(x).y_desc(y).draw()?;
     for (index, one) in series.iter().enumerate() {
         let colour = COLOURS[index % COLOURS.len()];
@@ -72,11 +80,7 @@
     let top = bars.iter().map(|bar| bar.1).fold(1.0, f64::max);
     let area = SVGBackend::new(path, SIZE).into_drawing_area();
     area.fill(&WHITE)?;
-    let mut chart = ChartBuilder::on(&area)
-        .caption(caption, ("sans-serif", 18))
-        .margin(12)
-        .x_label_area_size(36)
-        .y_label_area_size(48)
+    let mut chart = layout(&area, caption)
         .build_cartesian_2d((0..bars.len() - 1).into_segmented(), 0.0..top * 1.1)?;
     let name = |place: &SegmentValue<usize>| match place {
         SegmentValue::CenterOf(index) | SegmentValue::Exact(index) => {
