--- a/crates/medlarpoint_daemon/src/settings.rs
+++ b/crates/medlarpoint_daemon/src/settings.rs
@@ -163,7 +163,8 @@
     /// Longest pause within a request body, in milliseconds.
     pub body_pause_ms: u64,
     /// Rate of this VM's link, in megabits a second. Large answers are sent at
-    /// this rate, so that short ones pass; without it, as fast as they come.
+    /// this rate, so that short ones pass; without it, or with 0, as fast as
+    /// they come.
     pub link_megabits: Option<f64>,
 }
 
@@ -305,8 +306,8 @@
         range("limits.connections", self.limits.connections as u64, 1, 1_000_000)?;
         range("limits.head_bytes", self.limits.head_bytes as u64, 8_192, 1 << 20)?;
         range("limits.head_timeout_ms", self.limits.head_timeout_ms, 100, 600_000)?;
-        if self.limits.link_megabits.is_some_and(|rate| !(0.1..=1e6).contains(&rate)) {
-            return Err(value("limits.link_megabits", "is outside 0.1 to 1000000"));
+        if !self.limits.link_megabits.is_none_or(|rate| (0.0..=1e6).contains(&rate)) {
+            return Err(value("limits.link_megabits", "is outside 0 to 1000000"));
         }
         range("limits.body_pause_ms", self.limits.body_pause_ms, 100, 600_000)?;
         range("membership.period_ms", self.membership.period_ms, 50, 60_000)?;
@@ -348,7 +349,7 @@
 impl Settings {
     /// Tells whether large answers have to be sent at the rate of the link.
     pub fn has_narrow_link(&self) -> bool {
-        self.options.limits.link_megabits.is_some_and(|rate| rate < NARROW_MEGABITS)
+        self.options.limits.link_megabits.is_some_and(|rate| rate > 0.0 && rate < NARROW_MEGABITS)
     }
 
     /// Returns the link over which answers are sent.
--- a/crates/medlarpoint_daemon/src/settings/tests.rs
+++ b/crates/medlarpoint_daemon/src/settings/tests.rs
@@ -46,3 +46,16 @@
     assert!(found.iter().all(|text| !text.is_empty()), "{found:#?}");
     insta::assert_json_snapshot!(found);
 }
+
+#[test]
+fn only_a_known_and_narrow_link_makes_large_answers_wait() {
+    let narrow = |limits: &str| {
+        let options = Options::parse(&format!("{GOOD}[limits]\n{limits}")).unwrap();
+        options.resolve().unwrap().has_narrow_link()
+    };
+    assert!(narrow("link_megabits = 7.0"));
+    assert!(!narrow("link_megabits = 1000"));
+    assert!(!narrow("link_megabits = 0"));
+    assert!(!narrow(""));
+    assert!(fault(&format!("{GOOD}[limits]\nlink_megabits = -1")).contains("link_megabits"));
+}
