The model of members lets daemons meet by the entries of those that run

Trace: two daemons that had never met, and whose only contact in the model was a daemon that had been killed (node 1 of 0, 1, 2). The daemon itself takes its contacts from the entries in the store (registry::join_unknown), and that of a killed one lapses after 8 s; the model went on with the dead contact for good. It now takes the next daemon that runs.

--- a/crates/medlarpoint_bench/src/fuzz/members.rs
+++ b/crates/medlarpoint_bench/src/fuzz/members.rs
@@ -295,9 +295,14 @@
         for node in &mut self.nodes {
             node.frozen = false;
         }
-        // Who was alone in its data centre finds the others by the contacts.
-        for node in 0..NODES {
-            self.syncs.push((node, (node + 1) % NODES, Vec::new()));
+        // Who was alone in its data centre finds the others by their entries in
+        // the store; those of daemons that are gone have lapsed.
+        let running = |node: &usize| self.nodes[*node].detector.is_some();
+        for node in (0..NODES).filter(running) {
+            let mut others = (1..NODES).map(|step| (node + step) % NODES);
+            if let Some(contact) = others.find(running) {
+                self.syncs.push((node, contact, Vec::new()));
+            }
         }
         let end = self.now + QUIET;
         while self.now < end {
