--- a/crates/medlarpoint_routing/src/forecast.rs
+++ b/crates/medlarpoint_routing/src/forecast.rs
@@ -73,3 +73,6 @@
         self.now + worked.max(free) + transfer
     }
 }
+
+#[cfg(test)]
+mod tests;
