--- a/crates/medlarpoint_bench/src/report.rs
+++ b/crates/medlarpoint_bench/src/report.rs
@@ -17,10 +17,10 @@
     /// Folder of the journal.
     #[arg(long, default_value = "journal")]
     journal: PathBuf,
-    /// Output of the experiment `crest`, for goodput over a burst.
+    /// Output of the experiment `crest` in JSON, for goodput over a burst.
     #[arg(long)]
     crest: Option<PathBuf>,
-    /// Output of the experiment `blocking`, for latency by class.
+    /// Output of the experiment `blocking` in JSON, for latency by class.
     #[arg(long)]
     blocking: Option<PathBuf>,
     /// Folder for the drawings.
@@ -59,6 +59,13 @@
     Ok(serde_json::from_slice(&std::fs::read(path)?)?)
 }
 
+/// Reads what an experiment printed with `--output-format json`: its report is
+/// the last line.
+fn read_output<T: DeserializeOwned>(path: &Path) -> Result<T, Failure> {
+    let text = std::fs::read_to_string(path)?;
+    Ok(serde_json::from_str(text.lines().next_back().unwrap_or_default())?)
+}
+
 /// Draws every figure for which there is data; returns their paths.
 pub fn run(flags: &Flags) -> Result<Vec<PathBuf>, Failure> {
     std::fs::create_dir_all(&flags.out)?;
@@ -71,12 +78,12 @@
     }
     if let Some(file) = &flags.crest {
         let path = flags.out.join("goodput.svg");
-        draw_crest(&path, &read(file)?)?;
+        draw_crest(&path, &read_output(file)?)?;
         drawn.push(path);
     }
     if let Some(file) = &flags.blocking {
         let path = flags.out.join("latency.svg");
-        draw_blocking(&path, &read(file)?)?;
+        draw_blocking(&path, &read_output(file)?)?;
         drawn.push(path);
     }
     Ok(drawn)
--- a/crates/medlarpoint_bench/src/report/tests.rs
+++ b/crates/medlarpoint_bench/src/report/tests.rs
@@ -4,6 +4,7 @@
 
 use super::chart::{self, Series};
 use super::journal::rounds;
+use super::read_output;
 
 fn write(folder: &Path, name: &str, text: &str) {
     std::fs::write(folder.join(name), text).expect("written");
@@ -24,6 +25,14 @@
     assert_eq!(sites.len(), 1);
 }
 
+#[test]
+fn the_report_of_an_experiment_is_its_last_line() {
+    let folder = tempfile::tempdir().expect("a folder");
+    write(folder.path(), "crest.json", "v1 committed\n[1, 2]\n");
+    let numbers: Vec<u32> = read_output(&folder.path().join("crest.json")).expect("readable");
+    assert_eq!(numbers, [1, 2]);
+}
+
 #[test]
 fn charts_are_drawn_as_svg() {
     let folder = tempfile::tempdir().expect("a folder");
