--- a/crates/medlarpoint_bench/src/soak.rs
+++ b/crates/medlarpoint_bench/src/soak.rs
@@ -5,7 +5,7 @@
 mod caller;
 mod judge;
 mod link;
-mod machine;
+mod member;
 mod plan;
 mod stage;
 
--- a/crates/medlarpoint_bench/src/soak/judge.rs
+++ b/crates/medlarpoint_bench/src/soak/judge.rs
@@ -65,8 +65,6 @@
     pub(crate) changes: Vec<Change>,
     /// VMs whose daemon did not end in order when told to.
     pub(crate) bad_stops: Vec<usize>,
-    /// When the disturbances were over.
-    pub(crate) calm: Duration,
     /// Time that recovery took; `None` if it did not come.
     pub(crate) recovered: Option<Duration>,
 }
--- a/crates/medlarpoint_bench/src/soak/judge/tests.rs
+++ b/crates/medlarpoint_bench/src/soak/judge/tests.rs
@@ -26,7 +26,6 @@
         runs: [("a".to_owned(), 1)].into(),
         looks: (0..30).map(|s| Look { vm: 0, at: at(s), version: version(s >= 6) }).collect(),
         changes: vec![Change { at: at(5), version: Version(2) }],
-        calm: at(20),
         recovered: Some(at(1)),
         ..Evidence::default()
     }
--- a/crates/medlarpoint_bench/src/soak/machine.rs
+++ b/crates/medlarpoint_bench/src/soak/member.rs
@@ -43,7 +43,7 @@
 
 /// A VM.
 #[derive(Debug)]
-pub(crate) struct Machine {
+pub(crate) struct Member {
     pub(crate) site: Site,
     listen: Listen,
     place: Place,
@@ -57,7 +57,7 @@
     announcer: Announcer,
 }
 
-/// Returns an address of this machine's loopback network, of its own for each
+/// Returns an address of the loopback network, of its own for each
 /// VM, so that ports of one run do not meet those of another.
 fn ip(run: u8, number: usize) -> IpAddr {
     let [high, low] = (number as u16 + 1).to_be_bytes();
@@ -84,7 +84,7 @@
     }
 }
 
-impl Machine {
+impl Member {
     /// Starts a VM with its daemon.
     pub(crate) async fn start(
         (run, number): (u8, usize),
@@ -107,7 +107,7 @@
         let to_target = Link::start(ip, target.address()).await?;
         let announcer =
             Announcer::start(listen.api, service.name.parse()?, to_target.address(), service.slots);
-        let mut machine = Self {
+        let mut member = Self {
             callers: Link::start(ip, listen.calls).await?,
             store: Link::start(ip, store).await?,
             to_target,
@@ -119,10 +119,10 @@
             child: None,
             spawned: Instant::now(),
         };
-        machine.write_settings()?;
+        member.write_settings()?;
         drop(reserved);
-        machine.spawn()?;
-        Ok(machine)
+        member.spawn()?;
+        Ok(member)
     }
 
     fn settings_path(&self) -> PathBuf {
--- a/crates/medlarpoint_bench/src/soak/plan.rs
+++ b/crates/medlarpoint_bench/src/soak/plan.rs
@@ -15,7 +15,7 @@
 /// Longest delay of a slow link, in milliseconds.
 const MAX_DELAY_MS: u64 = 400;
 
-/// A link of a machine.
+/// A link of a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Side {
     /// From callers to the daemon.
@@ -37,13 +37,13 @@
     Pause(usize),
     /// Kills all daemons and starts them again.
     KillAll,
-    /// Changes a link of a machine.
+    /// Changes a link of a member.
     Link(usize, Side, Condition),
     /// Changes the store.
     Store(Faults),
     /// Tells a daemon to read its settings anew.
     Reload(usize),
-    /// Commits a change through a machine's daemon.
+    /// Commits a change through a member's daemon.
     Change(usize),
 }
 
@@ -59,7 +59,7 @@
 }
 
 /// Returns the steps of a soak in order.
-pub(crate) fn plan(seed: u64, length: Duration, machines: usize) -> Vec<Step> {
+pub(crate) fn plan(seed: u64, length: Duration, members: usize) -> Vec<Step> {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut steps = Vec::new();
     let mut at = Duration::ZERO;
@@ -68,23 +68,23 @@
         if at >= length {
             return steps;
         }
-        let disturbance = choose(&mut rng, machines);
+        let disturbance = choose(&mut rng, members);
         let length = Duration::from_millis(rng.random_range(LENGTH_MS));
         steps.push(Step { at, length, disturbance });
     }
 }
 
-fn choose(rng: &mut StdRng, machines: usize) -> Disturbance {
-    let machine = rng.random_range(0..machines);
+fn choose(rng: &mut StdRng, members: usize) -> Disturbance {
+    let member = rng.random_range(0..members);
     match rng.random_range(0..100) {
-        0..25 => Disturbance::Change(machine),
-        25..38 => Disturbance::Stop(machine),
-        38..48 => Disturbance::Kill(machine),
-        48..56 => Disturbance::Pause(machine),
-        56..59 => Disturbance::Reload(machine),
+        0..25 => Disturbance::Change(member),
+        25..38 => Disturbance::Stop(member),
+        38..48 => Disturbance::Kill(member),
+        48..56 => Disturbance::Pause(member),
+        56..59 => Disturbance::Reload(member),
         59..61 => Disturbance::KillAll,
         61..70 => Disturbance::Store(faults(rng)),
-        _ => Disturbance::Link(machine, side(rng), condition(rng)),
+        _ => Disturbance::Link(member, side(rng), condition(rng)),
     }
 }
 
--- a/crates/medlarpoint_bench/src/soak/stage.rs
+++ b/crates/medlarpoint_bench/src/soak/stage.rs
@@ -11,14 +11,14 @@
 use rustix::process::Signal;
 use tempfile::TempDir;
 use tokio::process::Command;
-use tokio::sync::Mutex as Turn;
+use tokio::sync::Mutex as AsyncMutex;
 use tokio::task::{JoinHandle, JoinSet};
 
 use super::Flags;
 use super::caller::{Desk, End, Kind};
 use super::judge::{Absence, Change, Evidence, Gap, Look, RECOVERY_LIMIT};
 use super::link::Condition;
-use super::machine::{Machine, Place, program};
+use super::member::{Member, Place, program};
 use super::plan::{Disturbance, Side, Step};
 use crate::{Failure, Preset, Site};
 
@@ -48,14 +48,14 @@
 
 /// A fleet with its callers.
 pub(crate) struct Stage {
-    machines: Vec<Turn<Machine>>,
+    members: Vec<AsyncMutex<Member>>,
     apis: Vec<std::net::SocketAddr>,
     store: StoreServer,
     ledger: Ledger,
     desk: Desk,
     seen: Mutex<Evidence>,
     plant: Option<Plant>,
-    commits: Turn<u32>,
+    commits: AsyncMutex<u32>,
     seed: u64,
     folder: TempDir,
 }
@@ -96,28 +96,28 @@
         let store = StoreServer::start(any, flags.seed).await?;
         let ledger = Ledger::default();
         let run: u8 = rand::random_range(1..=250);
-        let mut machines = Vec::new();
+        let mut members = Vec::new();
         for number in 0..usize::from(flags.daemons) {
             let (site, service) = site(number);
             let started =
-                Machine::start((run, number), site, service, store.address(), &place, &ledger);
-            machines.push(started.await?);
+                Member::start((run, number), site, service, store.address(), &place, &ledger);
+            members.push(started.await?);
         }
         let desk = Desk {
-            addresses: Arc::new(machines.iter().map(Machine::calls).collect()),
+            addresses: Arc::new(members.iter().map(Member::calls).collect()),
             ended: Arc::default(),
             start: Instant::now(),
             stop: Arc::new(AtomicBool::new(false)),
         };
         let stage = Arc::new(Self {
-            apis: machines.iter().map(Machine::api).collect(),
-            machines: machines.into_iter().map(Turn::new).collect(),
+            apis: members.iter().map(Member::api).collect(),
+            members: members.into_iter().map(AsyncMutex::new).collect(),
             store,
             ledger,
             desk,
             seen: Mutex::default(),
             plant: flags.plant,
-            commits: Turn::new(0),
+            commits: AsyncMutex::new(0),
             seed: flags.seed,
             folder,
         });
@@ -139,8 +139,8 @@
     /// Plays the steps, waits for recovery and returns what was seen.
     pub(crate) async fn play(self: Arc<Self>, steps: &[Step]) -> Result<Evidence, Failure> {
         let mut callers = JoinSet::new();
-        for number in 0..self.machines.len() * CALLERS {
-            let vm = number % self.machines.len();
+        for number in 0..self.members.len() * CALLERS {
+            let vm = number % self.members.len();
             let seed = self.seed.wrapping_mul(1_000).wrapping_add(number as u64);
             callers.spawn(self.desk.clone().call(vm, seed));
         }
@@ -154,7 +154,6 @@
             running.spawn(async move { stage.disturb(step).await });
         }
         while running.join_next().await.is_some() {}
-        let calm = self.now();
         let recovered = self.recover().await;
         if recovered.is_some() {
             tokio::time::sleep(LAST_CHANGE).await;
@@ -163,7 +162,6 @@
         while callers.join_next().await.is_some() {}
         looking.abort();
         let mut evidence = std::mem::take(&mut *lock(&self.seen));
-        evidence.calm = calm;
         evidence.recovered = recovered;
         evidence.calls = std::mem::take(&mut *lock(&self.desk.ended));
         evidence.runs = self.runs(&evidence);
@@ -198,8 +196,8 @@
             // A look is under way; the processes end with their handles.
             return;
         };
-        for machine in stage.machines {
-            machine.into_inner().close().await;
+        for member in stage.members {
+            member.into_inner().close().await;
         }
         stage.store.close();
     }
@@ -246,7 +244,7 @@
                 tokio::time::sleep(step.length).await;
                 self.store.set_faults(Faults::default());
             }
-            Disturbance::Reload(vm) => self.machines[vm].lock().await.signal(Signal::HUP),
+            Disturbance::Reload(vm) => self.members[vm].lock().await.signal(Signal::HUP),
             Disturbance::Change(vm) => {
                 // One that the disturbances hold up is no change.
                 self.commit(vm).await;
@@ -260,34 +258,34 @@
     }
 
     async fn kill(&self, vm: usize, down: Duration) {
-        let mut machine = self.machines[vm].lock().await;
+        let mut member = self.members[vm].lock().await;
         let from = self.now();
-        machine.signal(Signal::KILL);
-        machine.wait().await;
+        member.signal(Signal::KILL);
+        member.wait().await;
         tokio::time::sleep(down).await;
         if self.plant != Some(Plant::StayDown) {
-            self.start_again(&mut machine, vm).await;
+            self.start_again(&mut member, vm).await;
         }
         self.gap(vm, Absence::Process, from);
     }
 
     async fn stop(&self, vm: usize, down: Duration) {
-        let mut machine = self.machines[vm].lock().await;
+        let mut member = self.members[vm].lock().await;
         let hard = self.plant == Some(Plant::HardStop);
-        let in_order = machine.stop(if hard { Signal::KILL } else { Signal::TERM }).await;
+        let in_order = member.stop(if hard { Signal::KILL } else { Signal::TERM }).await;
         let ended = self.now();
         if !in_order {
             lock(&self.seen).bad_stops.push(vm);
         }
         tokio::time::sleep(down).await;
-        self.start_again(&mut machine, vm).await;
+        self.start_again(&mut member, vm).await;
         self.gap(vm, Absence::Stopped, ended);
     }
 
     /// Starts a daemon and waits until it serves.
-    async fn start_again(&self, machine: &mut Machine, vm: usize) {
-        if let Err(error) = machine.spawn() {
-            eprintln!("soak: {} does not start: {error}", machine.site.vm);
+    async fn start_again(&self, member: &mut Member, vm: usize) {
+        if let Err(error) = member.spawn() {
+            eprintln!("soak: {} does not start: {error}", member.site.vm);
             return;
         }
         let http = Http::new(LOOK_GAP * 4);
@@ -301,42 +299,42 @@
     }
 
     async fn pause(&self, vm: usize, length: Duration) {
-        let machine = self.machines[vm].lock().await;
+        let member = self.members[vm].lock().await;
         let from = self.now();
-        machine.signal(Signal::STOP);
+        member.signal(Signal::STOP);
         tokio::time::sleep(length).await;
-        machine.signal(Signal::CONT);
+        member.signal(Signal::CONT);
         self.gap(vm, Absence::Process, from);
     }
 
     async fn kill_all(&self) {
         let from = self.now();
-        let mut machines = Vec::new();
-        for machine in &self.machines {
-            machines.push(machine.lock().await);
+        let mut members = Vec::new();
+        for member in &self.members {
+            members.push(member.lock().await);
         }
-        for machine in &machines {
-            machine.signal(Signal::KILL);
+        for member in &members {
+            member.signal(Signal::KILL);
         }
-        for machine in &mut machines {
-            machine.wait().await;
-            if let Err(error) = machine.spawn() {
-                eprintln!("soak: {} does not start: {error}", machine.site.vm);
+        for member in &mut members {
+            member.wait().await;
+            if let Err(error) = member.spawn() {
+                eprintln!("soak: {} does not start: {error}", member.site.vm);
             }
         }
         // Others disturb them while they come up.
-        drop(machines);
+        drop(members);
         self.all_serve(RECOVERY_LIMIT).await;
-        for vm in 0..self.machines.len() {
+        for vm in 0..self.members.len() {
             self.gap(vm, Absence::Process, from);
         }
     }
 
     async fn link(&self, vm: usize, side: Side, condition: Condition, length: Duration) {
         let from = self.now();
-        self.machines[vm].lock().await.set(side, condition);
+        self.members[vm].lock().await.set(side, condition);
         tokio::time::sleep(length).await;
-        self.machines[vm].lock().await.set(side, Condition::Clear);
+        self.members[vm].lock().await.set(side, Condition::Clear);
         if side == Side::Callers {
             self.gap(vm, Absence::Callers, from);
         }
