A process that has left is not brought back by a late heartbeat

Cause: a process deregistered at a daemon that had just started and did not know it; the daemon acknowledged and remembered nothing, and a heartbeat that came two seconds later made the process the target. Ruled out: the order of reports of known processes.

--- a/crates/medlarpoint_daemon/src/daemon.rs
+++ b/crates/medlarpoint_daemon/src/daemon.rs
@@ -351,6 +351,7 @@
         intake: Mutex::new(intake),
         waiters: Mutex::default(),
         target: Mutex::new(None),
+        departed: Mutex::default(),
         claim_lease: tokio::sync::Mutex::default(),
         pace: Pace::default(),
         pool: Arc::new(Pool::default()),
--- a/crates/medlarpoint_daemon/src/state.rs
+++ b/crates/medlarpoint_daemon/src/state.rs
@@ -1,7 +1,7 @@
 //! Tables shared by the workers of a daemon.
 //!
 //! Lock order: `control`, then `services`, then a service's picker, budgets
-//! or hedges, then `intake`, then `waiters`. `target` and `patience` are held with
+//! or hedges, then `intake`, then `waiters`. `target`, `departed` and `patience` are held with
 //! no other. No lock is held across an await, but for `claim_lease`, which lets
 //! one worker ask for a lease at a time.
 
@@ -12,7 +12,7 @@
 use arc_swap::ArcSwap;
 use indexmap::IndexMap;
 use medlarpoint_config::{Distance, History, Rejection, Replica, Spreader};
-use medlarpoint_membership::{Detector, Freshness, Occupant, Reporter};
+use medlarpoint_membership::{Departed, Detector, Freshness, Occupant, Reporter};
 use medlarpoint_model::{Name, Snapshot, Version};
 use medlarpoint_platform::bounds::Bounds;
 use medlarpoint_platform::store::Client;
@@ -127,6 +127,8 @@
     pub(crate) intake: Mutex<Intake<Kept>>,
     pub(crate) waiters: Mutex<Waiters>,
     pub(crate) target: Mutex<Option<TargetState>>,
+    /// Processes that are no target any more.
+    pub(crate) departed: Mutex<Departed>,
     /// Lease that new records of idempotency keys are bound to, and when it
     /// was granted. Held while a new one is asked for.
     pub(crate) claim_lease: tokio::sync::Mutex<Option<(LeaseId, Duration)>>,
--- a/crates/medlarpoint_daemon/src/target.rs
+++ b/crates/medlarpoint_daemon/src/target.rs
@@ -8,6 +8,7 @@
 use medlarpoint_platform::report::{Heartbeat, Malformed};
 use medlarpoint_wire::{Announcement, Stage};
 
+use crate::clock::wall_ms;
 use crate::control::Driver;
 use crate::event::Event;
 use crate::inbound;
@@ -60,6 +61,10 @@
         seq: beat.seq,
         draining: beat.draining,
     };
+    if lock(&shared.departed).covers(shared.now(), &report) {
+        shared.emit(&Event::LateReport { instance: instance.to_owned(), seq: beat.seq });
+        return Ok(());
+    }
     let (verdict, back) = {
         let mut target = lock(&shared.target);
         let was_silent = target.as_ref().is_some_and(|target| target.silent);
@@ -116,6 +121,7 @@
 /// Takes the deregistration of a target. Once this returns, no new work reaches it.
 pub(crate) fn deregister(driver: &Driver, instance: &str, born_ms: Option<u64>) {
     let shared = driver.shared();
+    lock(&shared.departed).note(shared.now(), instance, born_ms, wall_ms());
     let left = {
         let mut target = lock(&shared.target);
         let occupant = target.as_mut().and_then(|target| target.occupant.as_mut());
--- a/crates/medlarpoint_membership/src/lib.rs
+++ b/crates/medlarpoint_membership/src/lib.rs
@@ -5,6 +5,7 @@
 //! ([`rank`]) do double work, never wrong work. [`Reporter`] sums up which
 //! version a data centre has in force.
 
+mod departed;
 mod detector;
 pub mod fallback;
 mod freshness;
@@ -18,6 +19,7 @@
 mod table;
 pub mod wave;
 
+pub use departed::Departed;
 pub use detector::{Action, Detector, Event};
 pub use freshness::{Freshness, Reading};
 pub use member::Member;
