The three fuzzers share one generator of steps

Each had the same state machine around its steps (no state, one strategy): it is now fuzz::steps::Steps. The soak's judge computes an excuse in one step instead of two matches over the same gap.

--- a/crates/medlarpoint_bench/src/fuzz.rs
+++ b/crates/medlarpoint_bench/src/fuzz.rs
@@ -4,6 +4,7 @@
 mod config;
 mod members;
 mod runner;
+mod steps;
 
 pub use calls::{CallPlant, Calls};
 pub use config::{Config, ConfigPlant};
--- a/crates/medlarpoint_bench/src/fuzz/calls.rs
+++ b/crates/medlarpoint_bench/src/fuzz/calls.rs
@@ -16,7 +16,9 @@
 use proptest_state_machine::StateMachineTest;
 
 use oracle::{Oracle, Request, Work};
-use step::{End, Fate, Steps, Transition};
+use step::{End, Fate, Transition};
+
+use super::steps::Steps;
 
 /// Outbound proxies in the model.
 const OUTBOUND: usize = 2;
@@ -590,7 +592,7 @@
 
 impl<P: CallPlant> StateMachineTest for Calls<P> {
     type SystemUnderTest = World;
-    type Reference = Steps;
+    type Reference = Steps<Transition>;
 
     fn init_test((): &()) -> World {
         World::new()
--- a/crates/medlarpoint_bench/src/fuzz/calls/step.rs
+++ b/crates/medlarpoint_bench/src/fuzz/calls/step.rs
@@ -1,7 +1,8 @@
 //! What the fuzzer of calls does, step by step.
 
 use proptest::prelude::*;
-use proptest_state_machine::ReferenceStateMachine;
+
+use crate::fuzz::steps::Step;
 
 use super::{INBOUND, KEYS, OUTBOUND};
 
@@ -38,19 +39,8 @@
     Broken,
 }
 
-/// Generates steps.
-#[derive(Debug)]
-pub struct Steps;
-
-impl ReferenceStateMachine for Steps {
-    type State = ();
-    type Transition = Transition;
-
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
-    }
-
-    fn transitions((): &()) -> BoxedStrategy<Transition> {
+impl Step for Transition {
+    fn any() -> BoxedStrategy<Self> {
         let which = || 0..12_usize;
         let often = |p: f64| prop::bool::weighted(p);
         let fate =
@@ -75,6 +65,4 @@
         ]
         .boxed()
     }
-
-    fn apply((): (), _: &Transition) {}
 }
--- a/crates/medlarpoint_bench/src/fuzz/config.rs
+++ b/crates/medlarpoint_bench/src/fuzz/config.rs
@@ -20,7 +20,9 @@
 use proptest_state_machine::StateMachineTest;
 
 use oracle::Oracle;
-use step::{Fate, Op, Steps, Transition};
+use step::{Fate, Op, Transition};
+
+use super::steps::Steps;
 
 /// Daemons in the model.
 const NODES: usize = 5;
@@ -485,7 +487,7 @@
 
 impl<P: ConfigPlant> StateMachineTest for Config<P> {
     type SystemUnderTest = World;
-    type Reference = Steps;
+    type Reference = Steps<Transition>;
 
     fn init_test((): &()) -> World {
         World::new()
--- a/crates/medlarpoint_bench/src/fuzz/config/step.rs
+++ b/crates/medlarpoint_bench/src/fuzz/config/step.rs
@@ -1,7 +1,8 @@
 //! What the fuzzer of configuration does, step by step.
 
 use proptest::prelude::*;
-use proptest_state_machine::ReferenceStateMachine;
+
+use crate::fuzz::steps::Step;
 
 use super::NODES;
 
@@ -52,19 +53,8 @@
     Quiet,
 }
 
-/// Generates steps; it needs no state, since any step is allowed at any time.
-#[derive(Debug)]
-pub struct Steps;
-
-impl ReferenceStateMachine for Steps {
-    type State = ();
-    type Transition = Transition;
-
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
-    }
-
-    fn transitions((): &()) -> BoxedStrategy<Transition> {
+impl Step for Transition {
+    fn any() -> BoxedStrategy<Self> {
         let node = || 0..NODES;
         let which = || 0..8_usize;
         let op = prop_oneof![
@@ -109,6 +99,4 @@
         ]
         .boxed()
     }
-
-    fn apply((): (), _: &Transition) {}
 }
--- a/crates/medlarpoint_bench/src/fuzz/members.rs
+++ b/crates/medlarpoint_bench/src/fuzz/members.rs
@@ -8,7 +8,9 @@
 use medlarpoint_model::{DataCentre, Name, Region, Vm};
 use medlarpoint_wire::{Body, Boot, Incarnation, Record, Status};
 use proptest::prelude::*;
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+use proptest_state_machine::StateMachineTest;
+
+use super::steps::{Step, Steps};
 
 /// Members in the model, spread over three data centres.
 const NODES: usize = 7;
@@ -73,19 +75,8 @@
     Quiet,
 }
 
-/// Generates steps.
-#[derive(Debug)]
-pub struct Steps;
-
-impl ReferenceStateMachine for Steps {
-    type State = ();
-    type Transition = Transition;
-
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
-    }
-
-    fn transitions((): &()) -> BoxedStrategy<Transition> {
+impl Step for Transition {
+    fn any() -> BoxedStrategy<Self> {
         let node = || 0..NODES;
         let which = || 0..MAX_NETWORK;
         prop_oneof![
@@ -106,8 +97,6 @@
         ]
         .boxed()
     }
-
-    fn apply((): (), _: &Transition) {}
 }
 
 #[derive(Debug)]
@@ -331,7 +320,7 @@
 
 impl<P: MemberPlant> StateMachineTest for Members<P> {
     type SystemUnderTest = World;
-    type Reference = Steps;
+    type Reference = Steps<Transition>;
 
     fn init_test((): &()) -> World {
         World::new::<P>()
--- a/crates/medlarpoint_bench/src/soak/judge.rs
+++ b/crates/medlarpoint_bench/src/soak/judge.rs
@@ -197,17 +197,12 @@
 /// Tells whether something disturbed the way of a call to its daemon.
 fn is_excused(evidence: &Evidence, call: &Ended) -> bool {
     evidence.gaps.iter().filter(|gap| gap.vm == call.vm).any(|gap| {
-        let from = match gap.absence {
-            Absence::Stopped => gap.from.saturating_sub(CLOSE_RACE),
-            Absence::Process | Absence::Callers => gap.from,
-        };
-        match gap.absence {
+        let (moment, from) = match gap.absence {
             // What was sent before is answered before the process ends.
-            Absence::Stopped => call.sent >= from && call.sent <= gap.until + AFTERMATH,
-            Absence::Process | Absence::Callers => {
-                call.sent <= gap.until + AFTERMATH && call.over >= from
-            }
-        }
+            Absence::Stopped => (call.sent, gap.from.saturating_sub(CLOSE_RACE)),
+            Absence::Process | Absence::Callers => (call.over, gap.from),
+        };
+        moment >= from && call.sent <= gap.until + AFTERMATH
     })
 }
 
