--- a/crates/medlarpoint_bench/src/fuzz/calls.rs
+++ b/crates/medlarpoint_bench/src/fuzz/calls.rs
@@ -12,7 +12,7 @@
 use medlarpoint_routing::{
     AttemptId, AttemptInfo, AttemptResult, AttemptStatus, Call, CallAction, CallEvent, Claim,
     ClaimResult, Completion, Constraints, Destination, FailurePoint, IdempotencyKey, Intake,
-    IntakeAction, Reply, Selector,
+    IntakeAction, Link, Reply, Selector,
 };
 use proptest_state_machine::StateMachineTest;
 
@@ -27,6 +27,12 @@
 const INBOUND: usize = 3;
 /// Number of slots of each target.
 const SLOTS: u32 = 2;
+/// Every so many requests, one has a large body.
+const REQUESTS_PER_LARGE_BODY: usize = 3;
+/// Size of a large request body, in bytes.
+const LARGE_BODY_BYTES: usize = 60_000;
+/// Rate of the link of an inbound proxy, in megabits per second.
+const REQUEST_LINK_MEGABITS: f64 = 10.0;
 /// Number of different idempotency keys.
 const KEYS: u8 = 4;
 /// Limit on the time from a status query to its response; later responses count
@@ -90,6 +96,8 @@
     boot: u64,
     intake: Intake<Work>,
     pending_claims: Vec<(AttemptId, IdempotencyKey)>,
+    /// Attempts whose request body is being received.
+    receiving: Vec<AttemptId>,
     running: Vec<AttemptId>,
     arrived_at: HashMap<AttemptId, Duration>,
     draining_since: Option<Duration>,
@@ -197,10 +205,12 @@
         let policy = Policy { ramp_ms: 0, queue_per_slot: 2, ..Policy::default() };
         let mut intake = Intake::new(vm(index), self.boot_count, policy, self.now);
         intake.scheduler_mut().set_slots(SLOTS, self.now);
+        intake.scheduler_mut().set_request_link(Link::for_requests(Some(REQUEST_LINK_MEGABITS)));
         Inbound {
             boot: self.boot_count,
             intake,
             pending_claims: Vec::new(),
+            receiving: Vec::new(),
             running: Vec::new(),
             arrived_at: HashMap::new(),
             draining_since: None,
@@ -310,6 +320,11 @@
             weight: 1,
             rank: 1,
             route: "k".parse().expect("a valid literal"),
+            body_bytes: if number.is_multiple_of(REQUESTS_PER_LARGE_BODY) {
+                LARGE_BODY_BYTES
+            } else {
+                0
+            },
             useful_until: None,
             may_spill: false,
             deadline: Duration::ZERO,
@@ -401,12 +416,13 @@
         let now = self.now;
         let actions = self.inbound[inbound].intake.cancel(now, attempt);
         for action in actions {
-            if let IntakeAction::Abort { attempt } = action {
-                self.inbound[inbound].running.retain(|running| *running != attempt);
-                let actions =
-                    self.inbound[inbound].intake.completed(now, attempt, Completion::Lost);
-                self.execute_intake_actions::<P>(inbound, actions);
-            }
+            let IntakeAction::Abort { attempt } = action else {
+                self.execute_intake_actions::<P>(inbound, vec![action]);
+                continue;
+            };
+            self.inbound[inbound].running.retain(|running| *running != attempt);
+            let actions = self.inbound[inbound].intake.completed(now, attempt, Completion::Lost);
+            self.execute_intake_actions::<P>(inbound, actions);
         }
     }
 
@@ -420,6 +436,9 @@
                 IntakeAction::Claim { attempt, key } => {
                     self.inbound[inbound].pending_claims.push((attempt, key));
                 }
+                IntakeAction::Receive { attempt, .. } => {
+                    self.inbound[inbound].receiving.push(attempt);
+                }
                 IntakeAction::HandOver { attempt } => self.hand_over(inbound, attempt),
                 IntakeAction::Abort { .. } => {}
                 IntakeAction::Reply { attempt, reply } => {
@@ -577,11 +596,27 @@
         for index in 0..INBOUND {
             let actions = self.inbound[index].intake.sweep(self.now);
             self.execute_intake_actions::<P>(index, actions);
+            self.end_bodies::<P>(index);
         }
         let overdue = self.calls.keys().any(|number| self.requests[*number].deadline < self.now);
         assert!(!overdue, "a call is not finished though its deadline has passed");
     }
 
+    /// Ends the request bodies that are being received: those of attempts whose
+    /// connection broke are truncated, the others are complete.
+    fn end_bodies<P: CallMutation>(&mut self, index: usize) {
+        for attempt in std::mem::take(&mut self.inbound[index].receiving) {
+            let disconnected = self.sent.get(&attempt).is_some_and(|sent| sent.disconnected);
+            let intake = &mut self.inbound[index].intake;
+            let actions = if disconnected {
+                intake.body_lost(self.now, attempt)
+            } else {
+                intake.body_received(self.now, attempt)
+            };
+            self.execute_intake_actions::<P>(index, actions);
+        }
+    }
+
     /// Ends all faults and checks that no call, attempt or slot remains in use.
     fn quiesce<P: CallMutation>(&mut self) {
         for _ in 0..40 {
--- a/crates/medlarpoint_daemon/src/body.rs
+++ b/crates/medlarpoint_daemon/src/body.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 
 use crate::body_limit::Limiter;
+use crate::held_body;
 use crate::inbound::InFlightAttempt;
 use crate::pool::PooledConnection;
 use crate::shaped_body::ShapedBody;
@@ -50,6 +51,8 @@
     Full(Option<Bytes>),
     /// Bytes in memory, sent at the rate of the link.
     Shaped(ShapedBody),
+    /// Request body that stays with the caller until the receiver asks for it.
+    Held(held_body::Reader),
     /// Bytes passed on as they arrive.
     Streaming {
         /// Bytes that were read ahead.
@@ -72,6 +75,12 @@
     /// The caller exceeded a limit.
     #[error(transparent)]
     Limit(#[from] crate::body_limit::Exceeded),
+    /// The receiver did not ask for the body.
+    #[error("the body was not asked for")]
+    Unwanted,
+    /// An earlier attempt has read the body, and it was too large to keep.
+    #[error("the body was read by an earlier attempt")]
+    Consumed,
 }
 
 impl Body {
@@ -91,8 +100,26 @@
         Self::Streaming { prefix: None, incoming, limiter: None, end_action: Some(end_action) }
     }
 
-    pub(crate) fn limited(incoming: Incoming, limiter: Limiter) -> Self {
-        Self::Streaming { prefix: None, incoming, limiter: Some(limiter), end_action: None }
+    /// Streams the body of a caller's request, of which `prefix` was read ahead.
+    pub(crate) fn limited(prefix: Bytes, incoming: Incoming, limiter: Limiter) -> Self {
+        let prefix = (!prefix.is_empty()).then_some(prefix);
+        Self::Streaming { prefix, incoming, limiter: Some(limiter), end_action: None }
+    }
+
+    /// Reads a streaming body into memory, up to [`MAX_BUFFERED_BYTES`]; the rest of a
+    /// larger one still streams. Other bodies are returned as they are.
+    pub(crate) async fn read_ahead(self) -> Result<Self, hyper::Error> {
+        let Self::Streaming { prefix: None, incoming, limiter: None, end_action } = self else {
+            return Ok(self);
+        };
+        let end_action = end_action.unwrap_or(EndAction::None);
+        match buffer(incoming, MAX_BUFFERED_BYTES).await? {
+            Buffered::Complete(bytes) => {
+                end_action.run();
+                Ok(Self::full(bytes))
+            }
+            Buffered::Partial(prefix, rest) => Ok(Self::with_prefix(prefix, rest, end_action)),
+        }
     }
 
     /// Streams the bytes that were read ahead, then the rest.
@@ -143,6 +170,10 @@
                 let chunk = ready!(shaped.poll_chunk(cx));
                 Poll::Ready(chunk.map(|chunk| Ok(Frame::data(chunk))))
             }
+            Self::Held(reader) => {
+                let chunk = ready!(reader.poll_chunk(cx));
+                Poll::Ready(chunk.map(|result| result.map(Frame::data)))
+            }
             Self::Streaming { prefix, incoming, limiter, end_action } => {
                 if let Some(prefix) = prefix.take() {
                     return Poll::Ready(Some(Ok(Frame::data(prefix))));
@@ -184,6 +215,7 @@
         match self {
             Self::Full(bytes) => bytes.is_none(),
             Self::Shaped(shaped) => shaped.remaining_bytes() == 0,
+            Self::Held(reader) => reader.is_finished(),
             Self::Streaming { prefix, incoming, .. } => {
                 prefix.is_none() && incoming.is_end_stream()
             }
@@ -194,6 +226,7 @@
         match self {
             Self::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64)),
             Self::Shaped(shaped) => SizeHint::with_exact(shaped.remaining_bytes() as u64),
+            Self::Held(reader) => reader.size_hint(),
             Self::Streaming { prefix, incoming, .. } => {
                 let prefix_bytes = prefix.as_ref().map_or(0, |bytes| bytes.len() as u64);
                 let rest = incoming.size_hint();
--- a/crates/medlarpoint_daemon/src/body_limit.rs
+++ b/crates/medlarpoint_daemon/src/body_limit.rs
@@ -31,6 +31,8 @@
     remaining_bytes: u64,
     max_pause: Duration,
     timer: Pin<Box<Sleep>>,
+    /// Set once the body is waited for: until then, the caller is not asked to send.
+    timer_started: bool,
     /// Set once the body has ended.
     timer_stopped: bool,
 }
@@ -38,7 +40,14 @@
 impl Limiter {
     pub(crate) fn new(max_bytes: u64, max_pause: Duration) -> Self {
         let timer = Box::pin(tokio::time::sleep(max_pause));
-        Self { max_bytes, remaining_bytes: max_bytes, max_pause, timer, timer_stopped: false }
+        Self {
+            max_bytes,
+            remaining_bytes: max_bytes,
+            max_pause,
+            timer,
+            timer_started: false,
+            timer_stopped: false,
+        }
     }
 
     /// Subtracts received bytes from those that may still arrive and restarts the timer.
@@ -61,6 +70,10 @@
         if self.timer_stopped {
             return Poll::Pending;
         }
+        if !self.timer_started {
+            self.timer_started = true;
+            self.timer.as_mut().reset(Instant::now() + self.max_pause);
+        }
         self.timer.as_mut().poll(cx).map(|()| Exceeded::BodyPause { pause: self.max_pause })
     }
 }
--- a/crates/medlarpoint_daemon/src/daemon.rs
+++ b/crates/medlarpoint_daemon/src/daemon.rs
@@ -22,6 +22,8 @@
 use crate::clock::{Clock, wall_ms};
 use crate::control::Driver;
 use crate::event::Event;
+use crate::idle::Retention;
+use crate::keep_alive::Connections;
 use crate::lifecycle::{Lifecycle, Shutdown};
 use crate::log::Log;
 use crate::pool::Pool;
@@ -331,7 +333,8 @@
     let replica = Replica::default();
     let in_force = InForce::new(Arc::clone(replica.current()));
     let mut intake = Intake::new(options.vm.clone(), boot, Policy::default(), clock.now());
-    intake.scheduler_mut().set_link(settings.link());
+    intake.scheduler_mut().set_link(settings.response_link());
+    intake.scheduler_mut().set_request_link(settings.request_link());
     let control = Control {
         detector,
         replica,
@@ -348,6 +351,7 @@
     Shared {
         store: Client::new(&settings.endpoints, settings.store_timeout),
         reloadable: ArcSwap::from_pointee(Reloadable::of(&settings)),
+        caller_connections: Connections::new(settings.options.limits.idle_connections),
         settings,
         clock,
         boot,
@@ -363,7 +367,8 @@
         deregistrations: Mutex::default(),
         claim_lease: tokio::sync::Mutex::default(),
         slowdown: Slowdown::default(),
-        pool: Arc::new(Pool::default()),
+        pool: Arc::new(Pool::new(Retention::PEER)),
+        target_pool: Arc::new(Pool::new(Retention::TARGET)),
         lifecycle: Lifecycle::default(),
         pull_wakeup: Notify::new(),
     }
--- a/crates/medlarpoint_daemon/src/handover.rs
+++ b/crates/medlarpoint_daemon/src/handover.rs
@@ -54,7 +54,7 @@
             took_ms: shared.now().saturating_sub(started_at).as_millis() as u64,
         });
     };
-    let exchange = shared.pool.exchange(target.address, request, info.key.is_none());
+    let exchange = shared.target_pool.exchange(target.address, request, info.key.is_none());
     let result = tokio::time::timeout(time_left, exchange).await;
     let (response, connection) = match result {
         Ok(Ok(exchanged)) => exchanged,
@@ -182,6 +182,7 @@
 fn strip_proxy_headers(headers: &mut HeaderMap) {
     header::strip_hop_by_hop(headers);
     for name in [
+        http::header::EXPECT,
         header::FLEET,
         header::ATTEMPT,
         header::BOOT,
--- a/crates/medlarpoint_daemon/src/header.rs
+++ b/crates/medlarpoint_daemon/src/header.rs
@@ -51,8 +51,9 @@
 /// Time that the target took for the call, in milliseconds.
 pub(crate) const TOOK_MS: HeaderName = HeaderName::from_static("medlarpoint-took-ms");
 /// Load of the target: running, queued, slots, duration of work on its VM in percent
-/// of the usual, and milliseconds until its link has sent the responses of all running
-/// and queued calls.
+/// of the usual, milliseconds until its link has sent the responses of all running
+/// and queued calls, and milliseconds until it has received the request bodies admitted
+/// so far.
 pub(crate) const LOAD: HeaderName = HeaderName::from_static("medlarpoint-load");
 /// VM whose daemon holds the claim of an idempotency key.
 pub(crate) const CLAIM_VM: HeaderName = HeaderName::from_static("medlarpoint-claim-vm");
@@ -122,16 +123,18 @@
 
 /// Sets the load header.
 pub(crate) fn set_load(headers: &mut HeaderMap, load: Load) {
-    let Load { running, queued, slots, pace_percent, link_ms } = load;
-    set(headers, LOAD, &format!("{running},{queued},{slots},{pace_percent},{link_ms}"));
+    let Load { running, queued, slots, pace_percent, link_ms, receive_ms } = load;
+    let text = format!("{running},{queued},{slots},{pace_percent},{link_ms},{receive_ms}");
+    set(headers, LOAD, &text);
 }
 
-/// Parses the load header; the last two fields count as zero if they are missing.
+/// Parses the load header; the last three fields count as zero if they are missing.
 pub(crate) fn load(headers: &HeaderMap) -> Option<Load> {
     let text = headers.get(&LOAD)?.to_str().ok()?;
     let mut parts = text.split(',').map(str::parse::<u32>);
     let mut next = || parts.next()?.ok();
     let (running, queued, slots) = (next()?, next()?, next()?);
-    let (pace_percent, link_ms) = (next().unwrap_or_default(), next().unwrap_or_default());
-    Some(Load { running, queued, slots, pace_percent, link_ms })
+    let pace_percent = next().unwrap_or_default();
+    let (link_ms, receive_ms) = (next().unwrap_or_default(), next().unwrap_or_default());
+    Some(Load { running, queued, slots, pace_percent, link_ms, receive_ms })
 }
--- a/crates/medlarpoint_daemon/src/inbound.rs
+++ b/crates/medlarpoint_daemon/src/inbound.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use medlarpoint_model::{Class, Idempotency};
 use medlarpoint_platform::call;
 use medlarpoint_routing::{
@@ -17,14 +17,18 @@
 use medlarpoint_wire::Readiness;
 use tokio::sync::oneshot;
 
-use crate::body::{Body, EndAction};
+use crate::body::{Body, EndAction, MAX_BUFFERED_BYTES};
 use crate::claim;
 use crate::event::Event;
 use crate::handover::hand_over;
 use crate::header;
+use crate::held_body::MAX_REPLAY_BYTES;
 use crate::outbound_call::call_id;
 use crate::state::{Shared, lock};
 
+/// Assumed size of a request body without a declared length, in bytes. Outbound proxies
+/// declare the length of smaller ones.
+const MIN_CHUNKED_BYTES: u64 = MAX_REPLAY_BYTES as u64;
 /// Rank of an attempt that states none.
 const DEFAULT_RANK: u8 = 1;
 /// Number of consecutive failed connections after which the target counts as down.
@@ -44,6 +48,9 @@
 /// Decision of the intake on an attempt.
 #[derive(Debug)]
 pub(crate) enum Decision {
+    /// Receive the request body from the given time on, on the local clock, and report
+    /// its end. The next decision follows.
+    Receive { start: Duration, next: oneshot::Receiver<Decision> },
     /// Hand the attempt over to the target.
     HandOver,
     /// Respond without the target.
@@ -98,6 +105,14 @@
     armed: bool,
 }
 
+impl CancelGuard {
+    /// Waits for the next decision on the attempt.
+    async fn next_decision(&mut self) -> Decision {
+        let decision = (&mut self.decision).await;
+        decision.unwrap_or(Decision::Reply(Reply::Unknown(FailurePoint::Sent)))
+    }
+}
+
 impl Drop for CancelGuard {
     fn drop(&mut self) {
         if !self.armed {
@@ -124,6 +139,7 @@
                 let shared = Arc::clone(shared);
                 tokio::spawn(async move { claim::claim(&shared, attempt, key).await });
             }
+            IntakeAction::Receive { attempt, start } => deliver_receive(shared, attempt, start),
             IntakeAction::HandOver { attempt } => deliver(shared, attempt, Decision::HandOver),
             IntakeAction::Reply { attempt, reply } => {
                 deliver(shared, attempt, Decision::Reply(reply));
@@ -148,6 +164,20 @@
     }
 }
 
+/// Delivers the decision to receive a request body, with the channel for the next one.
+fn deliver_receive(shared: &Shared, attempt: AttemptId, start: Duration) {
+    let (sender, next) = oneshot::channel();
+    let mut waiters = lock(&shared.waiters);
+    let Some(waiter) = waiters.insert(attempt, sender) else {
+        waiters.remove(&attempt);
+        return;
+    };
+    if waiter.send(Decision::Receive { start, next }).is_err() {
+        // The waiting task has ended and cancels the attempt.
+        waiters.remove(&attempt);
+    }
+}
+
 /// Reason why a request is not a valid attempt or query.
 #[derive(Debug, thiserror::Error)]
 enum RequestError {
@@ -166,14 +196,23 @@
         return respond_to_query(&shared, request.headers());
     }
     let (parts, body) = request.into_parts();
+    let size = body.size_hint();
+    let body_bytes = size.exact().unwrap_or(size.lower().max(MIN_CHUNKED_BYTES)) as usize;
+    let body_bytes = body_bytes.min(MAX_BUFFERED_BYTES);
     let body = Body::streaming(body, EndAction::None);
-    serve_attempt(shared, Request::from_parts(parts, body)).await
+    serve_attempt(shared, Request::from_parts(parts, body), body_bytes).await
 }
 
 /// Serves an attempt. The outbound proxy of the same daemon calls this directly.
-pub(crate) async fn serve_attempt(shared: Arc<Shared>, request: Request<Body>) -> Response<Body> {
+///
+/// `body_bytes` is the size of the request body that has still to cross the link.
+pub(crate) async fn serve_attempt(
+    shared: Arc<Shared>,
+    request: Request<Body>,
+    body_bytes: usize,
+) -> Response<Body> {
     let (parts, body) = request.into_parts();
-    match parse_attempt(&shared, &parts.headers) {
+    match parse_attempt(&shared, &parts.headers, body_bytes) {
         Ok(info) => process(shared, info, parts, body).await,
         Err(error) => bad_request(&error),
     }
@@ -206,7 +245,11 @@
     header::parse(headers, &header::KNOWN).unwrap_or(AttemptStatus::Unreachable)
 }
 
-fn parse_attempt(shared: &Shared, headers: &HeaderMap) -> Result<AttemptInfo, RequestError> {
+fn parse_attempt(
+    shared: &Shared,
+    headers: &HeaderMap,
+    body_bytes: usize,
+) -> Result<AttemptInfo, RequestError> {
     let missing = |name: &http::HeaderName| RequestError::Header(name.clone());
     let attempt =
         header::parse(headers, &header::ATTEMPT).ok_or_else(|| missing(&header::ATTEMPT))?;
@@ -236,6 +279,7 @@
         tenant: tenant.0,
         rank: header::parse(headers, &header::RANK).unwrap_or(DEFAULT_RANK),
         route,
+        body_bytes,
         useful_until: useful_until(headers, now),
         may_spill: headers.contains_key(&header::SPILL),
         deadline: now + time_left,
@@ -275,9 +319,16 @@
         lock(&shared.intake).arrive(now, info.clone())
     };
     perform(&shared, actions);
-    let decision =
-        (&mut guard.decision).await.unwrap_or(Decision::Reply(Reply::Unknown(FailurePoint::Sent)));
+    let (decision, body) = match guard.next_decision().await {
+        Decision::Receive { start, next } => {
+            guard.decision = next;
+            receive(&shared, &mut guard, &info, start, body).await
+        }
+        decision => (decision, body),
+    };
     let response = match decision {
+        // A body is received once.
+        Decision::Receive { .. } => respond(&shared, Reply::Unknown(FailurePoint::Sent)),
         Decision::Reply(reply) => {
             log_rejection(&shared, &info, &parts.headers, &reply);
             respond(&shared, reply)
@@ -301,6 +352,33 @@
     response
 }
 
+/// Receives the request body of an attempt once its time on the link has come. Returns
+/// the decision that follows, with the body.
+async fn receive(
+    shared: &Arc<Shared>,
+    guard: &mut CancelGuard,
+    info: &AttemptInfo,
+    start: Duration,
+    body: Body,
+) -> (Decision, Body) {
+    let transfer = async {
+        tokio::time::sleep_until(shared.clock.instant(start)).await;
+        body.read_ahead().await
+    };
+    let deadline = shared.clock.instant(info.deadline);
+    let received = tokio::select! {
+        decision = guard.next_decision() => return (decision, Body::empty()),
+        received = tokio::time::timeout_at(deadline, transfer) => received,
+    };
+    let now = shared.now();
+    let (actions, body) = match received {
+        Ok(Ok(body)) => (lock(&shared.intake).body_received(now, info.attempt), body),
+        Ok(Err(_)) | Err(_) => (lock(&shared.intake).body_lost(now, info.attempt), Body::empty()),
+    };
+    perform(shared, actions);
+    (guard.next_decision().await, body)
+}
+
 /// Logs an attempt that was rejected before it was handed over, with the load of the
 /// target.
 fn log_rejection(
--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -8,18 +8,18 @@
 use hyper::body::{Body as _, Incoming};
 use medlarpoint_model::{Class, Name};
 use medlarpoint_platform::call;
-use medlarpoint_routing::{Constraints, FailurePoint, IdempotencyKey, Outcome, ResolvedRoute};
+use medlarpoint_routing::{
+    Constraints, FailurePoint, IdempotencyKey, LARGE_MESSAGE_BYTES, Outcome, ResolvedRoute,
+};
 
-use crate::body::{Body, Buffered, EndAction, buffer};
+use crate::body::{Body, Buffered, buffer};
 use crate::body_limit::Limiter;
 use crate::event::Event;
+use crate::held_body::{HeldBody, MAX_REPLAY_BYTES};
 use crate::outbound_call::{OutboundCall, Payload, call_id, set_retry_after};
 use crate::state::{ServiceState, Shared, lock};
 use crate::{header, inbound};
 
-/// Limit on the request bodies that are buffered so that a call can be retried,
-/// in bytes.
-const MAX_REPLAY_BYTES: usize = 64 * 1024;
 /// Retry delay suggested to a caller whose call is rejected with status 503: about
 /// the time that membership takes to learn of a new target.
 const RETRY_AFTER: Duration = Duration::from_millis(400);
@@ -140,10 +140,12 @@
     if body.size_hint().lower() > shared.settings.options.limits.body_bytes {
         return reject(RoutingError::BodySize);
     }
-    let Some(payload) = buffer_body(shared, body).await else {
+    let Some(payload) = accept_body(shared, body).await else {
         return reject(RoutingError::BadBody);
     };
     header::strip_hop_by_hop(&mut parts.headers);
+    // This proxy asks the caller for the body itself.
+    parts.headers.remove(http::header::EXPECT);
     let origin = shared.reloadable.load().service.clone();
     call::set_origin(&mut parts.headers, origin.as_ref().map(Name::as_str));
     header::set(&mut parts.headers, header::DEPTH, &(depth + 1).to_string());
@@ -181,24 +183,27 @@
     OutboundCall::new(shared, service, resolved, parts, payload, key, constraints).run().await
 }
 
-/// Buffers a small request body so that it can be replayed; streams a larger one.
-/// Returns `None` if the body is truncated or too slow.
-async fn buffer_body(shared: &Shared, body: Incoming) -> Option<Payload> {
+/// Buffers a small request body; holds a large one until a target has room for it.
+/// Returns `None` if a body that is read here is truncated or too slow.
+async fn accept_body(shared: &Shared, body: Incoming) -> Option<Payload> {
     if body.is_end_stream() {
         return Some(Payload::Buffered(Bytes::new()));
     }
     let limits = &shared.settings.options.limits;
     let max_pause = Duration::from_millis(limits.body_pause_ms);
-    if body.size_hint().lower() > MAX_REPLAY_BYTES as u64 {
-        return Some(Payload::Stream(Some(Body::limited(
-            body,
-            Limiter::new(limits.body_bytes, max_pause),
-        ))));
+    if body.size_hint().lower() >= LARGE_MESSAGE_BYTES as u64 {
+        let limiter = Limiter::new(limits.body_bytes, max_pause);
+        return Some(Payload::Held(HeldBody::new(Body::limited(Bytes::new(), body, limiter))));
     }
     match tokio::time::timeout(max_pause, buffer(body, MAX_REPLAY_BYTES)).await {
-        Ok(Ok(Buffered::Complete(body))) => Some(Payload::Buffered(body)),
+        Ok(Ok(Buffered::Complete(body))) if body.len() < LARGE_MESSAGE_BYTES => {
+            Some(Payload::Buffered(body))
+        }
+        Ok(Ok(Buffered::Complete(body))) => Some(Payload::Held(HeldBody::new(Body::full(body)))),
         Ok(Ok(Buffered::Partial(prefix, rest))) => {
-            Some(Payload::Stream(Some(Body::with_prefix(prefix, rest, EndAction::None))))
+            let max_rest = limits.body_bytes.saturating_sub(prefix.len() as u64);
+            let limiter = Limiter::new(max_rest, max_pause);
+            Some(Payload::Held(HeldBody::new(Body::limited(prefix, rest, limiter))))
         }
         Ok(Err(_)) | Err(_) => None,
     }
--- a/crates/medlarpoint_daemon/src/outbound_call.rs
+++ b/crates/medlarpoint_daemon/src/outbound_call.rs
@@ -21,6 +21,7 @@
 use crate::attempt_response::{classify, counts_against_target, response_info};
 use crate::body::{Body, Buffered, EndAction, MAX_BUFFERED_BYTES, buffer};
 use crate::event::Event;
+use crate::held_body::HeldBody;
 use crate::pool::{ExchangeError, Pool};
 use crate::state::{ServiceState, Shared, lock};
 use crate::{header, inbound};
@@ -32,9 +33,26 @@
 pub(crate) enum Payload {
     /// Bytes in memory, sent with each attempt.
     Buffered(Bytes),
-    /// Body streamed with the first attempt, which leaves `None`: a streamed body
-    /// cannot be sent twice.
-    Stream(Option<Body>),
+    /// Large body, read from the caller once an inbound proxy asks for it.
+    Held(Arc<HeldBody>),
+}
+
+impl Payload {
+    /// Returns the size in bytes, or what is known of it so far.
+    fn len(&self) -> usize {
+        match self {
+            Self::Buffered(bytes) => bytes.len(),
+            Self::Held(held) => held.len(),
+        }
+    }
+
+    /// Returns the body for the next attempt; `None` if it cannot be sent once more.
+    fn body(&self) -> Option<Body> {
+        match self {
+            Self::Buffered(bytes) => Some(Body::full(bytes.clone())),
+            Self::Held(held) => held.is_replayable().then(|| Body::Held(held.reader())),
+        }
+    }
 }
 
 /// Event of an attempt, with the response if one has begun to arrive.
@@ -160,10 +178,7 @@
     pub(crate) async fn run(mut self) -> Response<Body> {
         let now = self.shared.now();
         let service = Arc::clone(&self.service);
-        let body_bytes = match &self.payload {
-            Payload::Buffered(bytes) => bytes.len(),
-            Payload::Stream(_) => 0,
-        };
+        let body_bytes = self.payload.len();
         let route = self.resolved.route.name.clone();
         let mut selector = TargetSelector { service: &service, route, body_bytes, key: self.key };
         let (mut call, mut actions) = Call::start(now, self.constraints, &mut selector);
@@ -204,13 +219,8 @@
     fn send_attempt(&mut self, attempt: AttemptId, destination: Destination, may_spill: bool) {
         let now = self.shared.now();
         self.attempts_sent += 1;
-        let body = match &mut self.payload {
-            Payload::Buffered(bytes) => Some(Body::full(bytes.clone())),
-            Payload::Stream(body) => body.take(),
-        };
-        let Some(body) = body else {
-            // An earlier attempt has consumed the streamed body, so this one cannot
-            // be sent.
+        let Some(body) = self.payload.body() else {
+            // An earlier attempt has read the body, so this one cannot be sent.
             let result = AttemptResult::NotRun {
                 point: FailurePoint::Refused,
                 retry_after: Duration::from_millis(100),
@@ -230,12 +240,21 @@
         let (shared, sender) = (Arc::clone(&self.shared), self.sender.clone());
         let address = destination.address;
         let is_local = destination.vm == shared.settings.options.vm;
+        let permission = match &self.payload {
+            Payload::Held(held) if !is_local => {
+                let permission;
+                (request, permission) = held.announce(request);
+                Some(permission)
+            }
+            _ => None,
+        };
         let task = tokio::spawn(async move {
             let result = if is_local {
-                Ok(inbound::serve_attempt(shared, request).await)
+                Ok(inbound::serve_attempt(shared, request, 0).await)
             } else {
                 exchange(&shared.pool, address, request, repeatable).await
             };
+            drop(permission);
             // The receiver is dropped once the call has finished.
             let _ = sender.send(attempt_event(attempt, result));
         });
--- a/crates/medlarpoint_daemon/src/pool.rs
+++ b/crates/medlarpoint_daemon/src/pool.rs
@@ -16,13 +16,9 @@
 
 use crate::body::Body;
 use crate::header;
+use crate::idle::{self, IDLE_TIMEOUT, Retention};
 use crate::partition::Partition;
 
-/// Limit on the idle connections per address.
-const MAX_IDLE_CONNECTIONS: usize = 64;
-/// Time after which an idle connection is closed, unless the other end closes it
-/// earlier.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Idle time after which a connection is not used for a call that may not be
 /// repeated: a device on the path may have dropped its state for the connection.
 const MAX_IDLE_TIME_NOT_REPEATABLE: Duration = Duration::from_secs(1);
@@ -32,20 +28,11 @@
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// A connection that waits for its next request.
-#[derive(Debug)]
-struct IdleConnection {
-    sender: SendRequest<Body>,
-    /// Time of the last response.
-    last_used: Instant,
-    /// Idle time for which the connection may be reused.
-    reuse_limit: Duration,
-}
-
 /// Idle connections by address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Pool {
-    idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
+    retention: Retention,
+    idle: Mutex<HashMap<SocketAddr, idle::Stack<SendRequest<Body>>>>,
     partition: Partition,
 }
 
@@ -83,20 +70,19 @@
 impl PooledConnection {
     /// Returns the connection to the pool after a complete exchange.
     pub(crate) fn release(self) {
-        let idle = IdleConnection {
-            sender: self.sender,
-            last_used: Instant::now(),
-            reuse_limit: self.reuse_limit,
-        };
-        let mut pool = self.pool.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let list = pool.entry(self.address).or_default();
-        if list.len() < MAX_IDLE_CONNECTIONS {
-            list.push(idle);
-        }
+        let retention = self.pool.retention;
+        let mut idle = self.pool.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let stack = idle.entry(self.address).or_insert_with(|| idle::Stack::new(retention));
+        stack.push(Instant::now(), self.sender, self.reuse_limit);
     }
 }
 
 impl Pool {
+    /// Creates a pool without connections.
+    pub(crate) fn new(retention: Retention) -> Self {
+        Self { retention, idle: Mutex::default(), partition: Partition::default() }
+    }
+
     /// Sends a request and returns the head of the response. Uses an idle connection if
     /// one was used recently enough for the request.
     ///
@@ -159,11 +145,9 @@
     /// Closes connections that have been idle for longer than they may be reused.
     pub(crate) fn evict_idle(&self) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain(|_, list| {
-            list.retain(|idle| {
-                idle.last_used.elapsed() < idle.reuse_limit && !idle.sender.is_closed()
-            });
-            !list.is_empty()
+        idle.retain(|_, stack| {
+            stack.evict(Instant::now(), SendRequest::is_closed);
+            !stack.is_empty()
         });
     }
 
@@ -171,11 +155,10 @@
     /// `max_idle_time`.
     fn take_idle(&self, address: SocketAddr, max_idle_time: Duration) -> Option<SendRequest<Body>> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let list = idle.get_mut(&address)?;
-        while let Some(idle) = list.pop() {
-            let reusable = idle.last_used.elapsed() < max_idle_time.min(idle.reuse_limit);
-            if reusable && !idle.sender.is_closed() {
-                return Some(idle.sender);
+        let stack = idle.get_mut(&address)?;
+        while let Some(sender) = stack.take(Instant::now(), max_idle_time) {
+            if !sender.is_closed() {
+                return Some(sender);
             }
         }
         None
--- a/crates/medlarpoint_daemon/src/server.rs
+++ b/crates/medlarpoint_daemon/src/server.rs
@@ -1,15 +1,17 @@
 //! Accepts connections of callers and of other daemons' outbound proxies.
 
 use std::convert::Infallible;
-use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{Request, Response};
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response, Version};
 use hyper::body::Incoming;
-use hyper::service::service_fn;
+use hyper::server::conn::http1;
+use hyper::service::{Service, service_fn};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
+use hyper_util::server::graceful::GracefulConnection;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, Semaphore};
 
@@ -55,8 +57,8 @@
         tokio::spawn(async move {
             let tracked = shared.lifecycle.track_connection();
             match kind {
-                Listener::Calls => serve_stream(&shared, stream, outbound::serve).await,
-                Listener::Inbound => serve_stream(&shared, stream, inbound::serve).await,
+                Listener::Calls => serve_caller(&shared, stream).await,
+                Listener::Inbound => serve_peer(&shared, stream).await,
             }
             drop(tracked);
             drop(permit);
@@ -78,22 +80,39 @@
     }
 }
 
-async fn serve_stream<F>(
-    shared: &Arc<Shared>,
-    stream: TcpStream,
+/// Returns a service that passes requests to `handle`.
+fn service<F>(
+    shared: Arc<Shared>,
+    request_received: Arc<Notify>,
     handle: impl Fn(Arc<Shared>, Request<Incoming>) -> F,
-) where
+) -> impl Service<Request<Incoming>, Response = Response<Body>, Error = Infallible, Future: Send + 'static>
+where
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    // If the option cannot be set, responses are only slower.
-    let _ = stream.set_nodelay(true);
-    let limits = &shared.settings.options.limits;
-    let request_received = Notify::new();
-    let service = service_fn(|request| {
+    service_fn(move |request| {
         request_received.notify_one();
-        let response = handle(Arc::clone(shared), request);
+        let response = handle(Arc::clone(&shared), request);
         async move { Ok::<_, Infallible>(response.await) }
-    });
+    })
+}
+
+/// Serves a call and closes the caller's connection after it if too many are idle.
+async fn serve_call(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
+    let version = request.version();
+    let mut response = outbound::serve(Arc::clone(&shared), request).await;
+    let keeps_alive = shared.caller_connections.keeps_alive(shared.lifecycle.pending_calls());
+    if version == Version::HTTP_11 && !keeps_alive {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// Serves the connection of a caller, over HTTP/1.1 or HTTP/2.
+async fn serve_caller(shared: &Arc<Shared>, stream: TcpStream) {
+    let limits = &shared.settings.options.limits;
+    let request_received = Arc::new(Notify::new());
+    let service = service(Arc::clone(shared), Arc::clone(&request_received), serve_call);
+    let _open = shared.caller_connections.track();
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
@@ -106,7 +125,38 @@
         .max_header_list_size(limits.head_bytes as u32)
         .max_concurrent_streams(MAX_CONCURRENT_STREAMS)
         .keep_alive_interval(Duration::from_secs(10));
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let connection = builder.serve_connection(without_delay(stream), service);
+    drive(shared, connection, &request_received).await;
+}
+
+/// Serves the connection of another daemon's outbound proxy, which uses HTTP/1.1.
+async fn serve_peer(shared: &Arc<Shared>, stream: TcpStream) {
+    let limits = &shared.settings.options.limits;
+    let request_received = Arc::new(Notify::new());
+    let service = service(Arc::clone(shared), Arc::clone(&request_received), inbound::serve);
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.head_timeout_ms))
+        .max_buf_size(limits.head_bytes);
+    let connection = builder.serve_connection(without_delay(stream), service);
+    drive(shared, connection, &request_received).await;
+}
+
+/// Disables the delay of small segments on a stream.
+fn without_delay(stream: TcpStream) -> TokioIo<TcpStream> {
+    // If the option cannot be set, responses are only slower.
+    let _ = stream.set_nodelay(true);
+    TokioIo::new(stream)
+}
+
+/// Runs a connection until it ends or the daemon closes. Once the daemon stops
+/// accepting calls, the connection ends after its current request.
+async fn drive<C: GracefulConnection>(
+    shared: &Arc<Shared>,
+    connection: C,
+    request_received: &Notify,
+) {
     tokio::pin!(connection);
     let last_request = async {
         if shared.lifecycle.has_stopped_accepting() {
--- a/crates/medlarpoint_daemon/src/settings.rs
+++ b/crates/medlarpoint_daemon/src/settings.rs
@@ -157,6 +157,9 @@
 pub struct LimitOptions {
     /// Maximum number of concurrent connections from callers.
     pub connections: usize,
+    /// Number of idle connections from callers above which a connection is closed
+    /// after its response.
+    pub idle_connections: usize,
     /// Maximum size of a request head, in bytes; at least 8,192.
     pub head_bytes: usize,
     /// Maximum size of a request body, in bytes.
@@ -175,6 +178,7 @@
     fn default() -> Self {
         Self {
             connections: 4_096,
+            idle_connections: 256,
             head_bytes: 32 * 1024,
             body_bytes: 1 << 30,
             head_timeout_ms: 10_000,
@@ -313,6 +317,7 @@
         range("drain_timeout_ms", self.drain_timeout_ms, 0, 3_600_000)?;
         range("workers", self.workers as u64, 0, 1_024)?;
         range("limits.connections", self.limits.connections as u64, 1, 1_000_000)?;
+        range("limits.idle_connections", self.limits.idle_connections as u64, 0, 1_000_000)?;
         range("limits.head_bytes", self.limits.head_bytes as u64, 8_192, 1 << 20)?;
         range("limits.head_timeout_ms", self.limits.head_timeout_ms, 100, 600_000)?;
         if !self.limits.link_megabits.is_none_or(|rate| (0.0..=1e6).contains(&rate)) {
@@ -362,8 +367,19 @@
     }
 
     /// Returns the link over which responses are sent.
-    pub fn link(&self) -> Link {
-        Link::new(self.options.limits.link_megabits.filter(|_| self.has_narrow_link()))
+    pub fn response_link(&self) -> Link {
+        Link::for_responses(self.narrow_megabits())
+    }
+
+    /// Returns the link over which request bodies are received.
+    pub fn request_link(&self) -> Link {
+        Link::for_requests(self.narrow_megabits())
+    }
+
+    /// Returns the rate of the link in megabits per second; `None` if it is no
+    /// bottleneck.
+    fn narrow_megabits(&self) -> Option<f64> {
+        self.options.limits.link_megabits.filter(|_| self.has_narrow_link())
     }
 
     /// Reads and validates a settings file.
--- a/crates/medlarpoint_daemon/src/shaped_body.rs
+++ b/crates/medlarpoint_daemon/src/shaped_body.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use medlarpoint_model::Name;
-use medlarpoint_routing::LARGE_RESPONSE_BYTES;
+use medlarpoint_routing::LARGE_MESSAGE_BYTES;
 use tokio::time::Sleep;
 
 use crate::body::Body;
@@ -37,7 +37,7 @@
         link.observe(route, response.len());
         link.reserve(now, response.len())
     };
-    if response.len() < LARGE_RESPONSE_BYTES || !shared.settings.has_narrow_link() {
+    if response.len() < LARGE_MESSAGE_BYTES || !shared.settings.has_narrow_link() {
         return Body::full(response);
     }
     let timer = Box::pin(tokio::time::sleep_until(shared.clock.instant(start)));
--- a/crates/medlarpoint_daemon/src/state.rs
+++ b/crates/medlarpoint_daemon/src/state.rs
@@ -25,6 +25,7 @@
 use crate::clock::Clock;
 use crate::event::Event;
 use crate::inbound::{SavedResponse, Waiters};
+use crate::keep_alive::Connections;
 use crate::lifecycle::Lifecycle;
 use crate::log::Log;
 use crate::pool::Pool;
@@ -137,7 +138,12 @@
     /// granted. Locked while a new lease is requested.
     pub(crate) claim_lease: tokio::sync::Mutex<Option<(LeaseId, Duration)>>,
     pub(crate) slowdown: Slowdown,
+    /// Connections of callers.
+    pub(crate) caller_connections: Connections,
+    /// Connections to other daemons.
     pub(crate) pool: Arc<Pool>,
+    /// Connections to the target of this VM.
+    pub(crate) target_pool: Arc<Pool>,
     pub(crate) lifecycle: Lifecycle,
     /// Wakes the task that pulls configuration from peers.
     pub(crate) pull_wakeup: Notify,
--- a/crates/medlarpoint_daemon/src/target.rs
+++ b/crates/medlarpoint_daemon/src/target.rs
@@ -248,6 +248,7 @@
             check_heartbeat(&driver, &shared);
             check_health(&driver, &shared).await;
             shared.pool.evict_idle();
+            shared.target_pool.evict_idle();
         }
     }
 }
--- a/crates/medlarpoint_routing/src/attempt.rs
+++ b/crates/medlarpoint_routing/src/attempt.rs
@@ -69,6 +69,9 @@
     pub weight: u16,
     /// Route of the call. Calls of one route have similar service times.
     pub route: Name,
+    /// Size of the request body that has still to cross the VM's link, in bytes; zero
+    /// if it has arrived.
+    pub body_bytes: usize,
     /// Priority of the call when slots are scarce; 0 goes first.
     pub rank: u8,
     /// Time on the local clock until which a response is of full use to the caller.
--- a/crates/medlarpoint_routing/src/candidate.rs
+++ b/crates/medlarpoint_routing/src/candidate.rs
@@ -6,7 +6,7 @@
 use medlarpoint_model::Name;
 
 use crate::picker::{CallInfo, Endpoint, Locality, NetworkCosts, ResponseInfo};
-use crate::{AttemptId, Breaker, Generation, LARGE_RESPONSE_BYTES, Latency, Load};
+use crate::{AttemptId, Breaker, Generation, LARGE_MESSAGE_BYTES, Latency, Load};
 
 /// Time after which a load report has lost most of its weight.
 const LOAD_DECAY: Duration = Duration::from_secs(1);
@@ -20,6 +20,9 @@
 const EJECT_TIME: Duration = Duration::from_millis(500);
 /// Upper bound on the duration of an ejection.
 const MAX_EJECT_TIME: Duration = Duration::from_secs(10);
+/// Time for which a target that reported no usable slot is not selected, unless
+/// membership learns more first.
+const CLOSED_TIME: Duration = Duration::from_secs(1);
 /// Time for which a target counts as a straggler after a first slow attempt was
 /// abandoned; it doubles with each further one.
 const STRAGGLER_TIME: Duration = Duration::from_millis(100);
@@ -200,7 +203,7 @@
         now: Duration,
         call: &CallInfo<'_>,
         median: Duration,
-        bytes: f64,
+        response_bytes: f64,
         network_costs: &NetworkCosts,
     ) -> Duration {
         let service = self.service_time(now, call.route, median);
@@ -210,16 +213,24 @@
         let utilization = (occupancy / slots).min(1.0);
         let waiting = service.mul_f64(queued_per_slot + utilization * LOAD_SLOPE);
         let failure = FAILURE_COST.mul_f64(self.failure_rate(now));
-        let link =
-            if bytes < LARGE_RESPONSE_BYTES as f64 { Duration::ZERO } else { self.link_wait(now) };
+        let link = self.link_wait(now, call.body_bytes, response_bytes);
+        let bytes = call.body_bytes as f64 + response_bytes;
         service + waiting + failure + link + self.network_cost(bytes, network_costs)
     }
 
-    /// Returns the time that a large response waits for the target's link, by the
-    /// last load report.
-    fn link_wait(&self, now: Duration) -> Duration {
+    /// Returns the time that a large request body and a large response wait for the
+    /// target's link, by the last load report.
+    fn link_wait(&self, now: Duration, body_bytes: usize, response_bytes: f64) -> Duration {
         let age = now.saturating_sub(self.load_at);
-        Duration::from_millis(self.load.link_ms.into()).saturating_sub(age)
+        let reported = |millis: u32| Duration::from_millis(millis.into()).saturating_sub(age);
+        let mut wait = Duration::ZERO;
+        if body_bytes >= LARGE_MESSAGE_BYTES {
+            wait += reported(self.load.receive_ms);
+        }
+        if response_bytes >= LARGE_MESSAGE_BYTES as f64 {
+            wait += reported(self.load.link_ms);
+        }
+        wait
     }
 
     fn network_cost(&self, bytes: f64, network_costs: &NetworkCosts) -> Duration {
@@ -294,6 +305,9 @@
         self.other_calls = (f64::from(load.running + load.queued) - own as f64).max(0.0);
         self.load = load;
         self.load_at = now;
+        if load.slots == 0 {
+            self.ejected_until = self.ejected_until.max(now + CLOSED_TIME);
+        }
     }
 
     fn update_service_time(&mut self, now: Duration, route: &Name, service_time: Duration) {
--- a/crates/medlarpoint_routing/src/fair/tests.rs
+++ b/crates/medlarpoint_routing/src/fair/tests.rs
@@ -15,6 +15,7 @@
         weight,
         rank: 1,
         route: "k".parse().expect("a valid literal"),
+        body_bytes: 0,
         useful_until: None,
         may_spill: false,
         arrived: Duration::ZERO,
--- a/crates/medlarpoint_routing/src/forecast.rs
+++ b/crates/medlarpoint_routing/src/forecast.rs
@@ -51,6 +51,12 @@
         self.responded_at(ticket, position, 1.0) <= ticket.deadline
     }
 
+    /// Returns whether the response to a call would come by its deadline even if the
+    /// target takes longer than usual.
+    pub(crate) fn meets_deadline_with_margin(&self, ticket: &Ticket, position: Position) -> bool {
+        self.responded_at(ticket, position, MARGIN) <= ticket.deadline
+    }
+
     /// Returns whether a call has been late for longer than
     /// [`MAX_LATE_WAIT`].
     pub(crate) fn has_waited_too_long(&self, ticket: &Ticket) -> bool {
--- a/crates/medlarpoint_routing/src/forecast/tests.rs
+++ b/crates/medlarpoint_routing/src/forecast/tests.rs
@@ -24,6 +24,7 @@
         weight: 1,
         rank: 1,
         route: name(route),
+        body_bytes: 0,
         useful_until: Some(NOW + Duration::from_millis(useful_ms)),
         may_spill: false,
         arrived: NOW,
@@ -35,7 +36,7 @@
 /// and packs that take the link one second each.
 fn with_forecast(test: impl FnOnce(Forecast<'_>)) {
     let mut service_times = ServiceTimes::default();
-    let mut link = Link::new(Some(0.8));
+    let mut link = Link::for_responses(Some(0.8));
     for route in ["pack", "lookup"] {
         service_times.observe(&name(route), SERVICE_TIME);
     }
--- a/crates/medlarpoint_routing/src/intake.rs
+++ b/crates/medlarpoint_routing/src/intake.rs
@@ -40,6 +40,14 @@
         /// Idempotency key of the attempt.
         key: IdempotencyKey,
     },
+    /// Receipt of the request body from the given time on; its end goes to
+    /// [`Intake::body_received`].
+    Receive {
+        /// Attempt whose body is to be received.
+        attempt: AttemptId,
+        /// Time at which to start, on the local clock.
+        start: Duration,
+    },
     /// Handover of the call to the target; the result goes to
     /// [`Intake::completed`].
     HandOver {
@@ -107,10 +115,12 @@
     Lost,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 enum Phase {
     /// The attempt waits for a slot.
     Queued,
+    /// The request body is received from the given time on, on the local clock.
+    Receiving { start: Duration },
     /// The attempt holds a slot and waits for the claim of its key.
     Claiming,
     /// The attempt has been in flight at the target since the given time.
@@ -163,9 +173,10 @@
         &mut self.scheduler
     }
 
-    /// Returns the load at `now`.
+    /// Returns the load at `now`. While new calls are rejected, no slot is usable.
     pub fn load(&self, now: Duration) -> Load {
-        self.scheduler.load(now)
+        let load = self.scheduler.load(now);
+        if self.draining { Load { slots: 0, ..load } } else { load }
     }
 
     /// Sets whether new calls are rejected.
@@ -235,25 +246,17 @@
 
     fn admit(&mut self, now: Duration, info: AttemptInfo) -> Vec<Action<A>> {
         let attempt = info.attempt;
-        let ticket = Ticket {
-            attempt,
-            class: info.class,
-            tenant: info.tenant.clone(),
-            weight: info.weight,
-            route: info.route.clone(),
-            rank: info.rank,
-            useful_until: info.useful_until,
-            may_spill: info.may_spill,
-            arrived: now,
-            deadline: info.deadline,
-        };
-        let (admission, displaced) = self.scheduler.arrive(now, ticket);
+        let (admission, displaced) = self.scheduler.arrive(now, ticket(now, &info));
         let mut actions = self.apply(now, displaced.into_iter().collect());
         match admission {
             Admission::Rejected(rejection, retry_after) => {
                 actions.push(not_run(attempt, point_of(rejection), Some(rejection), retry_after));
             }
             Admission::Queued => self.register(info, Phase::Queued),
+            Admission::Receive(start) => {
+                self.register(info, Phase::Receiving { start });
+                actions.push(Action::Receive { attempt, start });
+            }
             Admission::Run => {
                 self.register(info, Phase::Queued);
                 actions.extend(self.start(now, attempt));
@@ -269,6 +272,61 @@
         self.pending.insert(info.attempt, PendingAttempt { info, phase, cancelled: false });
     }
 
+    /// Handles the receipt of a complete request body: the attempt now requests a slot.
+    pub fn body_received(&mut self, now: Duration, attempt: AttemptId) -> Vec<Action<A>> {
+        let Some(pending) = self.pending.get_mut(&attempt) else {
+            return Vec::new();
+        };
+        if !matches!(pending.phase, Phase::Receiving { .. }) {
+            return Vec::new();
+        }
+        pending.phase = Phase::Queued;
+        self.scheduler.body_ended(pending.info.body_bytes);
+        // The body has arrived here, so another target would have to receive it again.
+        let info = AttemptInfo { body_bytes: 0, may_spill: false, ..pending.info.clone() };
+        if self.draining || now >= info.deadline {
+            return self.end_unstarted(now, attempt);
+        }
+        let (admission, displaced) = self.scheduler.arrive(now, ticket(now, &info));
+        let mut actions = self.apply(now, displaced.into_iter().collect());
+        match admission {
+            Admission::Run => actions.extend(self.start(now, attempt)),
+            Admission::Queued | Admission::Receive(_) => {}
+            Admission::Rejected(rejection, retry_after) => {
+                let decision = Decision::Rejected(attempt, rejection, retry_after);
+                actions.extend(self.apply(now, vec![decision]));
+            }
+        }
+        actions
+    }
+
+    /// Handles a request body that broke off.
+    pub fn body_lost(&mut self, now: Duration, attempt: AttemptId) -> Vec<Action<A>> {
+        match self.pending.get(&attempt) {
+            Some(PendingAttempt { phase: Phase::Receiving { .. }, .. }) => {
+                self.end_unstarted(now, attempt)
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Ends an attempt that holds no slot and is not queued for one.
+    fn end_unstarted(&mut self, now: Duration, attempt: AttemptId) -> Vec<Action<A>> {
+        let decision = Decision::Rejected(attempt, Rejection::NoTarget, RETRY_AFTER);
+        self.apply(now, vec![decision])
+    }
+
+    /// Releases the link of an attempt whose request body will not be complete.
+    fn release_link(&mut self, now: Duration, pending: &PendingAttempt) {
+        let Phase::Receiving { start } = pending.phase else {
+            return;
+        };
+        self.scheduler.body_ended(pending.info.body_bytes);
+        if now < start {
+            self.scheduler.release_body(pending.info.body_bytes);
+        }
+    }
+
     /// Starts an attempt that holds a slot, with the claim of its key if it needs
     /// one.
     fn start(&mut self, now: Duration, attempt: AttemptId) -> Vec<Action<A>> {
@@ -365,15 +423,20 @@
                 self.remove(now, attempt);
                 Vec::new()
             }
+            // The rest of the body will not arrive, with or without a key.
+            (Phase::Receiving { .. }, _) => self.end_unstarted(now, attempt),
             (Phase::Running { .. }, None) => vec![Action::Abort { attempt }],
             _ => Vec::new(),
         }
     }
 
-    /// Rejects all queued calls, so that other targets can serve them.
+    /// Rejects all calls that hold no slot, so that other targets can serve them.
     pub fn reject_queued(&mut self, now: Duration) -> Vec<Action<A>> {
-        let queued = self.scheduler.clear();
-        let rejected = queued.into_iter();
+        let mut waiting = self.scheduler.clear();
+        let receiving = self.pending.iter();
+        let receiving = receiving.filter(|(_, p)| matches!(p.phase, Phase::Receiving { .. }));
+        waiting.extend(receiving.map(|(attempt, _)| *attempt));
+        let rejected = waiting.into_iter();
         let rejected = rejected
             .map(|attempt| Decision::Rejected(attempt, Rejection::NoTarget, Duration::ZERO))
             .collect();
@@ -427,6 +490,7 @@
                     let Some(pending) = self.remove(now, attempt) else {
                         continue;
                     };
+                    self.release_link(now, &pending);
                     let waiting = pending.info.key.map(|key| self.window.release(key));
                     for id in waiting.into_iter().flatten().chain([attempt]) {
                         actions.push(not_run(
@@ -493,13 +557,30 @@
     fn release_slot(&mut self, now: Duration, pending: &PendingAttempt) -> Vec<Action<A>> {
         let took = match pending.phase {
             Phase::Running { since } => Some(now.saturating_sub(since)),
-            Phase::Queued | Phase::Claiming => None,
+            Phase::Queued | Phase::Receiving { .. } | Phase::Claiming => None,
         };
         let decisions = self.scheduler.release(now, pending.info.class, &pending.info.route, took);
         self.apply(now, decisions)
     }
 }
 
+/// Returns the request for a slot that an attempt makes at `now`.
+fn ticket(now: Duration, info: &AttemptInfo) -> Ticket {
+    Ticket {
+        attempt: info.attempt,
+        class: info.class,
+        tenant: info.tenant.clone(),
+        weight: info.weight,
+        route: info.route.clone(),
+        body_bytes: info.body_bytes,
+        rank: info.rank,
+        useful_until: info.useful_until,
+        may_spill: info.may_spill,
+        arrived: now,
+        deadline: info.deadline,
+    }
+}
+
 fn point_of(rejection: Rejection) -> FailurePoint {
     match rejection {
         Rejection::Busy => FailurePoint::Busy,
--- a/crates/medlarpoint_routing/src/intake/tests.rs
+++ b/crates/medlarpoint_routing/src/intake/tests.rs
@@ -5,7 +5,7 @@
 use medlarpoint_model::{Class, Idempotency, Policy, Vm};
 
 use super::{Action, ClaimResult, Completion, Intake, Reply};
-use crate::{AttemptId, AttemptInfo, AttemptStatus, Claim, FailurePoint, IdempotencyKey};
+use crate::{AttemptId, AttemptInfo, AttemptStatus, Claim, FailurePoint, IdempotencyKey, Link};
 
 const NOW: Duration = Duration::from_secs(100);
 const BOOT: u64 = 7;
@@ -29,6 +29,7 @@
         class: Class::Short,
         tenant: "t".parse().unwrap(),
         weight: 1,
+        body_bytes: 0,
         rank: 1,
         route: "k".parse().expect("a valid literal"),
         useful_until: None,
@@ -165,3 +166,84 @@
     assert_eq!(intake.cancel(NOW, AttemptId(1)), [abort]);
     assert_eq!(intake.load(NOW).queued, 0);
 }
+
+/// An intake on a narrow link, and the properties of a call with a large body.
+fn narrow_intake() -> Intake<&'static str> {
+    let mut intake = intake();
+    intake.scheduler_mut().set_request_link(Link::for_requests(Some(10.0)));
+    intake
+}
+
+fn upload(attempt: u128) -> AttemptInfo {
+    AttemptInfo { body_bytes: 60_000, ..info(attempt, None) }
+}
+
+/// Returns the time at which an action starts to receive a body.
+fn receive_start(actions: &[Action<&'static str>]) -> Option<Duration> {
+    match actions {
+        [Action::Receive { start, .. }] => Some(*start),
+        _ => None,
+    }
+}
+
+#[test]
+fn a_call_with_a_large_body_runs_once_the_body_is_complete() {
+    let mut intake = narrow_intake();
+    let actions = intake.arrive(NOW, upload(1));
+    assert_eq!(receive_start(&actions), Some(NOW));
+    assert_eq!(intake.load(NOW).running, 0);
+    assert_eq!(intake.query(NOW, AttemptId(1), BOOT, Duration::ZERO), AttemptStatus::Running);
+    let actions = intake.body_received(NOW, AttemptId(1));
+    assert_eq!(actions, [Action::HandOver { attempt: AttemptId(1) }]);
+}
+
+#[test]
+fn large_bodies_are_received_one_after_the_other() {
+    let mut intake = narrow_intake();
+    intake.arrive(NOW, upload(1));
+    let second = receive_start(&intake.arrive(NOW, upload(2))).expect("it is admitted");
+    assert!(second > NOW + Duration::from_millis(48), "the first takes 48 ms on the link");
+    let small = intake.arrive(NOW, info(3, None));
+    assert_eq!(small, [Action::HandOver { attempt: AttemptId(3) }]);
+}
+
+#[test]
+fn the_link_is_released_if_the_caller_leaves_before_its_body_is_received() {
+    let mut intake = narrow_intake();
+    intake.arrive(NOW, upload(1));
+    let second = receive_start(&intake.arrive(NOW, upload(2)));
+    assert_eq!(intake.cancel(NOW, AttemptId(2)).len(), 1);
+    assert_eq!(receive_start(&intake.arrive(NOW, upload(3))), second);
+    assert!(intake.body_received(NOW, AttemptId(2)).is_empty());
+    assert_eq!(intake.unfinished(), 2);
+}
+
+#[test]
+fn a_body_that_breaks_off_is_not_run() {
+    let mut intake = narrow_intake();
+    intake.arrive(NOW, upload(1));
+    let actions = intake.body_lost(NOW, AttemptId(1));
+    assert_eq!(point(&actions), Some(FailurePoint::Refused));
+    assert_eq!(intake.unfinished(), 0);
+}
+
+#[test]
+fn a_key_is_free_again_if_the_caller_leaves_before_its_body_is_received() {
+    let mut intake = narrow_intake();
+    intake.arrive(NOW, AttemptInfo { key: Some(KEY), ..upload(1) });
+    intake.arrive(NOW, AttemptInfo { key: Some(KEY), ..upload(2) });
+    let actions = intake.cancel(NOW, AttemptId(1));
+    assert_eq!(actions.len(), 2, "both attempts are answered: {actions:?}");
+    assert!(
+        receive_start(&intake.arrive(NOW, AttemptInfo { key: Some(KEY), ..upload(3) })).is_some()
+    );
+}
+
+#[test]
+fn a_draining_target_rejects_bodies_that_are_being_received() {
+    let mut intake = narrow_intake();
+    intake.arrive(NOW, upload(1));
+    intake.set_draining(true);
+    assert_eq!(point(&intake.reject_queued(NOW)), Some(FailurePoint::Refused));
+    assert!(intake.body_received(NOW, AttemptId(1)).is_empty());
+}
--- a/crates/medlarpoint_routing/src/lib.rs
+++ b/crates/medlarpoint_routing/src/lib.rs
@@ -38,7 +38,7 @@
 pub use idempotency::IdempotencyWindow;
 pub use intake::{Action as IntakeAction, ClaimResult, Completion, Intake, Reply};
 pub use latency::Latency;
-pub use link::{LARGE_RESPONSE_BYTES, Link};
+pub use link::{LARGE_MESSAGE_BYTES, Link};
 pub use outcome::{FailurePoint, Outcome, Retry};
 pub use picker::{
     CallInfo, Destination, Endpoint, Locality, NetworkCosts, Picker, ResponseInfo, Strategy,
--- a/crates/medlarpoint_routing/src/link.rs
+++ b/crates/medlarpoint_routing/src/link.rs
@@ -1,20 +1,24 @@
-//! The network link over which a VM sends its responses.
+//! The network link of a VM, in one direction.
 //!
-//! A few large responses fill a narrow link for seconds and delay small ones.
-//! Large responses are therefore sent one after the other at the rate of the
-//! link, and calls with large responses are started only while the backlog of
-//! the link is short.
+//! A few large messages fill a narrow link for seconds and delay small ones. Large
+//! responses are therefore sent one after the other at the rate of the link, and
+//! calls with large responses are started only while the backlog of the link is
+//! short. Large request bodies are received in the same way: each is reserved a time
+//! at which its sender may start.
 
 use std::time::Duration;
 
 use indexmap::IndexMap;
 use medlarpoint_model::Name;
 
-/// Size from which responses are sent one after the other, in bytes.
-pub const LARGE_RESPONSE_BYTES: usize = 16 * 1024;
+/// Size from which messages are sent one after the other, in bytes.
+pub const LARGE_MESSAGE_BYTES: usize = 16 * 1024;
 /// Share of the link's rate that responses may use; the rest carries headers,
 /// acknowledgements and control messages.
-const USABLE_SHARE: f64 = 0.92;
+const RESPONSE_SHARE: f64 = 0.92;
+/// Share of the link's rate that large request bodies may use. The rest carries small
+/// calls to the target, and the responses to the calls that start on this VM.
+const REQUEST_SHARE: f64 = 0.85;
 /// Limit of the link's backlog up to which calls with large responses are
 /// started. Targets take about as long to respond, so the link does not idle.
 const MAX_BACKLOG: Duration = Duration::from_millis(500);
@@ -46,21 +50,48 @@
 }
 
 impl Link {
-    /// Creates a link with a rate in megabits per second; without a rate,
-    /// responses are never delayed.
-    pub fn new(megabits: Option<f64>) -> Self {
-        let rate = megabits.map(|megabits| megabits * 1e6 / 8.0 * USABLE_SHARE);
+    /// Creates a link for responses with a rate in megabits per second; without a
+    /// rate, responses are never delayed.
+    pub fn for_responses(megabits: Option<f64>) -> Self {
+        Self::with_share(megabits, RESPONSE_SHARE)
+    }
+
+    /// Creates a link for request bodies with a rate in megabits per second; without
+    /// a rate, bodies are never delayed.
+    pub fn for_requests(megabits: Option<f64>) -> Self {
+        Self::with_share(megabits, REQUEST_SHARE)
+    }
+
+    fn with_share(megabits: Option<f64>, share: f64) -> Self {
+        let rate = megabits.map(|megabits| megabits * 1e6 / 8.0 * share);
         Self { rate, ..Self::default() }
     }
 
-    /// Reserves the link for a response and returns the time at which to start
+    /// Returns whether messages of a size are large enough to be sent one after the
+    /// other on this link.
+    pub fn shapes(&self, bytes: usize) -> bool {
+        self.rate.is_some() && bytes >= LARGE_MESSAGE_BYTES
+    }
+
+    /// Reserves the link for a message and returns the time at which to start
     /// sending it.
     pub fn reserve(&mut self, now: Duration, bytes: usize) -> Duration {
-        let start = self.free_at.max(now);
-        self.free_at = start + self.transfer_time(bytes as f64);
+        let start = self.next_start(now);
+        self.reserve_from(start, bytes);
         start
     }
 
+    /// Reserves the link for a message that starts at a given time, which is not before
+    /// [`Link::next_start`].
+    pub(crate) fn reserve_from(&mut self, start: Duration, bytes: usize) {
+        self.free_at = start + self.transfer_time(bytes as f64);
+    }
+
+    /// Returns the time at which the next message can be started.
+    pub(crate) fn next_start(&self, now: Duration) -> Duration {
+        self.free_at.max(now)
+    }
+
     /// Releases reserved bytes that will not be sent.
     pub fn release(&mut self, bytes: usize) {
         self.free_at = self.free_at.saturating_sub(self.transfer_time(bytes as f64));
@@ -118,7 +149,7 @@
     /// Returns whether responses of a route are large and the link is narrow, so
     /// that they are sent one after the other.
     pub(crate) fn is_large(&self, route: &Name) -> bool {
-        self.rate.is_some() && self.mean(route) >= LARGE_RESPONSE_BYTES as f64
+        self.shapes(self.mean(route) as usize)
     }
 
     fn mean(&self, route: &Name) -> f64 {
--- a/crates/medlarpoint_routing/src/link/tests.rs
+++ b/crates/medlarpoint_routing/src/link/tests.rs
@@ -14,7 +14,7 @@
 
 /// A link of which responses may use 92 kilobytes per second.
 fn narrow() -> Link {
-    Link::new(Some(0.8))
+    Link::for_responses(Some(0.8))
 }
 
 #[test]
@@ -58,7 +58,7 @@
 
 #[test]
 fn no_response_waits_where_the_link_is_no_bottleneck() {
-    let mut link = Link::new(None);
+    let mut link = Link::for_responses(None);
     link.observe(&route("pack"), 1_000_000);
     for _ in 0..100 {
         link.call_started(&route("pack"));
--- a/crates/medlarpoint_routing/src/picker.rs
+++ b/crates/medlarpoint_routing/src/picker.rs
@@ -203,12 +203,12 @@
             Strategy::LeastRequests => all.iter().copied().min_by_key(|c| c.outstanding()),
             Strategy::ExpectedWait | Strategy::ExpectedWaitBreaker => {
                 let breaker = self.strategy == Strategy::ExpectedWaitBreaker;
-                let bytes = call.body_bytes as f64
-                    + self.response_sizes.get(call.route).copied().unwrap_or(0.0);
+                let response_bytes = self.response_sizes.get(call.route).copied().unwrap_or(0.0);
                 let usable = usable(now, &all, breaker);
                 let median = median_or_default(&usable, call.route);
                 let cost = |candidate: &&&Candidate| {
-                    let cost = candidate.cost(now, call, median, bytes, &self.network_costs);
+                    let cost =
+                        candidate.cost(now, call, median, response_bytes, &self.network_costs);
                     let late = busy.contains(&candidate.endpoint.destination.vm);
                     let cost = if late { cost + LATE_COST } else { cost };
                     cost.mul_f64(self.rng.random_range(1.0 - COST_JITTER..1.0 + COST_JITTER))
--- a/crates/medlarpoint_routing/src/picker/tests.rs
+++ b/crates/medlarpoint_routing/src/picker/tests.rs
@@ -36,7 +36,7 @@
 }
 
 fn load(running: u32, queued: u32) -> Load {
-    Load { running, queued, slots: 10, pace_percent: 100, link_ms: 0 }
+    Load { running, queued, slots: 10, pace_percent: 100, link_ms: 0, receive_ms: 0 }
 }
 
 fn respond(picker: &mut Picker, name: &str, response: ResponseInfo) {
@@ -177,3 +177,31 @@
     let small = CallInfo { route: &small_route, body_bytes: 0 };
     assert_eq!(picker.pick(NOW, &small, &[], &[vm("near")]).unwrap().vm, vm("far"));
 }
+
+/// During a release, targets leave one after the other, and membership tells some daemons
+/// late.
+#[test]
+fn a_target_that_accepts_no_calls_is_not_selected_again_at_once() {
+    let names = ["leaving", "a", "b"];
+    let mut picker = picker(&names.map(|name| (name, Locality::Near)));
+    let attempt = AttemptId(u128::MAX);
+    picker.on_sent(NOW, &vm("leaving"), attempt, &route());
+    let closed = Load { slots: 0, ..load(3, 0) };
+    let response = ResponseInfo { load: Some(closed), ..ResponseInfo::default() };
+    picker.on_rejected(NOW, &vm("leaving"), attempt, &response);
+    assert_eq!(distribute(&mut picker, &names, 20, 0)[0], 0);
+    assert_eq!(picker.ejected_until(NOW + ms(1_000), &vm("leaving")), None);
+}
+
+#[test]
+fn uploads_avoid_a_target_whose_link_is_busy() {
+    let names = ["busy", "free"];
+    let mut picker = picker(&names.map(|name| (name, Locality::Near)));
+    let service_time = Some(ms(100));
+    for (name, receive_ms) in [("busy", 1_500), ("free", 0)] {
+        let load = Some(Load { receive_ms, ..load(0, 0) });
+        respond(&mut picker, name, ResponseInfo { load, service_time, ..ResponseInfo::default() });
+    }
+    assert_eq!(distribute(&mut picker, &names, 4, 60_000), [0, 4]);
+    assert!(distribute(&mut picker, &names, 10, 300)[0] > 0);
+}
--- a/crates/medlarpoint_routing/src/priority/tests.rs
+++ b/crates/medlarpoint_routing/src/priority/tests.rs
@@ -15,6 +15,7 @@
         weight: 1,
         rank: 1,
         route: "k".parse().unwrap(),
+        body_bytes: 0,
         useful_until: None,
         may_spill: false,
         arrived: Duration::ZERO,
--- a/crates/medlarpoint_routing/src/scheduler.rs
+++ b/crates/medlarpoint_routing/src/scheduler.rs
@@ -14,6 +14,8 @@
 use crate::priority::{Priority, Queue};
 use crate::service_times::ServiceTimes;
 
+/// Limit of the request bodies that are on the link at a time, in bytes.
+const BODY_IN_TRANSFER_BYTES: usize = 128 * 1024;
 /// Lower limit of the advised time until a retry.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -33,6 +35,8 @@
     /// Route of the call; calls of one route have similar service times and
     /// response sizes.
     pub route: Name,
+    /// Size of the request body that has still to cross this VM's link, in bytes.
+    pub body_bytes: usize,
     /// Time until which the response is of full use to the caller, on the local
     /// clock.
     pub useful_until: Option<Duration>,
@@ -70,6 +74,9 @@
     Run,
     /// The call waits for a slot.
     Queued,
+    /// The request body is to be received from the given time on, on the local clock.
+    /// The call requests a slot once it is complete.
+    Receive(Duration),
     /// The call does not run; it can be retried after the given time.
     Rejected(Rejection, Duration),
 }
@@ -98,6 +105,9 @@
     /// Time until the link has sent the responses of all running and queued
     /// calls, in milliseconds.
     pub link_ms: u32,
+    /// Time until the link has received the large request bodies admitted so far, in
+    /// milliseconds.
+    pub receive_ms: u32,
 }
 
 /// State of one scheduling class.
@@ -121,7 +131,12 @@
     ramp_start: Duration,
     short: ClassState,
     long: ClassState,
+    /// Link in the direction of the responses.
     link: Link,
+    /// Link in the direction of the requests.
+    request_link: Link,
+    /// Size of the request bodies that are admitted and not complete, in bytes.
+    receiving_bytes: usize,
 }
 
 impl Scheduler {
@@ -129,7 +144,9 @@
     /// every call is rejected.
     pub fn new(slots: u32, policy: Policy, now: Duration) -> Self {
         let (short, long) = (ClassState::default(), ClassState::default());
-        Self { slots, policy, ramp_start: now, short, long, link: Link::default() }
+        let (link, request_link) = (Link::default(), Link::default());
+        let receiving_bytes = 0;
+        Self { slots, policy, ramp_start: now, short, long, link, request_link, receiving_bytes }
     }
 
     /// Replaces the link over which responses are sent.
@@ -137,6 +154,11 @@
         self.link = link;
     }
 
+    /// Replaces the link over which request bodies are received.
+    pub fn set_request_link(&mut self, link: Link) {
+        self.request_link = link;
+    }
+
     /// Returns the link over which responses are sent.
     pub fn link_mut(&mut self) -> &mut Link {
         &mut self.link
@@ -167,6 +189,9 @@
         if usable == 0 {
             return (Admission::Rejected(Rejection::NoTarget, MIN_RETRY_AFTER), None);
         }
+        if self.request_link.shapes(ticket.body_bytes) {
+            return (self.admit_body(now, usable, &ticket), None);
+        }
         let class = ticket.class;
         if self.is_next(now, &ticket) && self.has_slot(class, usable) {
             if now >= ticket.deadline {
@@ -198,6 +223,60 @@
         (Admission::Queued, displaced)
     }
 
+    /// Decides whether to receive the request body of a call, before any of it has
+    /// crossed the link.
+    ///
+    /// A body that is received for a call that is then not served takes the link from
+    /// other bodies. Bodies are therefore received one after the other, and only if
+    /// the response can still come in time; late ones must be able to start soon.
+    fn admit_body(&mut self, now: Duration, usable: u32, ticket: &Ticket) -> Admission {
+        let start = self.next_body_start(now);
+        let wait = start.saturating_sub(now);
+        let transfer = self.request_link.transfer_time(ticket.body_bytes as f64);
+        let received_at = start + transfer;
+        let (_, position) = self.place(now, usable, ticket);
+        let position = Position {
+            slot_wait: position.slot_wait.saturating_sub(received_at.saturating_sub(now)),
+            ..position
+        };
+        let forecast = Forecast { now: received_at, ..self.forecast(now, ticket.class) };
+        let retry_after = self.retry_after(now, usable, ticket).max(wait);
+        if !forecast.meets_deadline_with_margin(ticket, position) {
+            return Admission::Rejected(Rejection::TooLate, retry_after);
+        }
+        if !forecast.is_in_time(ticket, position) {
+            let idle = Forecast { now: now + transfer, ..forecast };
+            if ticket.may_spill && idle.is_in_time_on_idle_target(ticket) {
+                return Admission::Rejected(Rejection::Busy, retry_after);
+            }
+            if wait > MAX_LATE_WAIT {
+                return Admission::Rejected(Rejection::TooLate, retry_after);
+            }
+        }
+        self.request_link.reserve_from(start, ticket.body_bytes);
+        self.receiving_bytes += ticket.body_bytes;
+        Admission::Receive(start)
+    }
+
+    /// Returns the time at which the next request body can be started. Bodies may take
+    /// longer than reserved, so those that are not complete count as well; up to
+    /// [`BODY_IN_TRANSFER_BYTES`] of them are on the link now.
+    fn next_body_start(&self, now: Duration) -> Duration {
+        let waiting = self.receiving_bytes.saturating_sub(BODY_IN_TRANSFER_BYTES);
+        let drained = now + self.request_link.transfer_time(waiting as f64);
+        self.request_link.next_start(now).max(drained)
+    }
+
+    /// Records that an admitted request body is complete or will not be.
+    pub fn body_ended(&mut self, bytes: usize) {
+        self.receiving_bytes = self.receiving_bytes.saturating_sub(bytes);
+    }
+
+    /// Releases the link time of an admitted request body that was not started.
+    pub fn release_body(&mut self, bytes: usize) {
+        self.request_link.release(bytes);
+    }
+
     /// Releases a slot and returns the queued calls that run next or are too
     /// late to run. `took` is the service time, if the call ran.
     pub fn release(
@@ -253,6 +332,7 @@
             slots: self.usable_slots(now),
             pace_percent: 0,
             link_ms: self.link_backlog(now).as_millis() as u32,
+            receive_ms: self.next_body_start(now).saturating_sub(now).as_millis() as u32,
         }
     }
 
--- a/crates/medlarpoint_routing/src/scheduler/tests.rs
+++ b/crates/medlarpoint_routing/src/scheduler/tests.rs
@@ -27,6 +27,7 @@
         weight: 1,
         rank: 1,
         route: route(),
+        body_bytes: 0,
         useful_until: None,
         may_spill: false,
         arrived: NOW,
@@ -165,7 +166,7 @@
 /// A scheduler with a link of 92 kilobytes per second and packs of 92 kilobytes.
 fn behind_narrow_link() -> Scheduler {
     let mut scheduler = scheduler(9);
-    scheduler.set_link(Link::new(Some(0.8)));
+    scheduler.set_link(Link::for_responses(Some(0.8)));
     scheduler.link_mut().observe(&pack(), 92_000);
     scheduler
 }
@@ -223,6 +224,7 @@
             match scheduler.arrive(now, ticket.clone()).0 {
                 Admission::Run => decisions.push(Decision::Run(ticket.attempt)),
                 Admission::Queued => {}
+                Admission::Receive(_) => unreachable!("the call has no request body"),
                 Admission::Rejected(..) => rejected += 1,
             }
         }
@@ -245,3 +247,49 @@
     assert!(in_time >= 9, "{in_time} in time of {sent:?}");
     assert!(in_time + 2 >= sent.len(), "{in_time} in time of {sent:?}");
 }
+
+fn upload(id: u128, useful_ms: u64) -> Ticket {
+    Ticket { body_bytes: 60_000, ..due(id, useful_ms) }
+}
+
+/// A scheduler of an idle target on a link of 10 Mbit/s, and a service time of 100 ms.
+fn narrow_scheduler() -> Scheduler {
+    let mut scheduler = scheduler(4);
+    scheduler.set_request_link(Link::for_requests(Some(10.0)));
+    scheduler.arrive(NOW, ticket(1, Class::Short, 9_000));
+    scheduler.release(NOW, Class::Short, &route(), Some(Duration::from_millis(100)));
+    scheduler
+}
+
+#[test]
+fn uploads_that_would_be_late_are_rejected_before_they_are_received() {
+    let mut scheduler = narrow_scheduler();
+    let admitted = (0..100)
+        .filter(|id| matches!(scheduler.arrive(NOW, upload(*id, 1_000)).0, Admission::Receive(_)));
+    // Each body takes 56 ms on the link.
+    let admitted = admitted.count();
+    assert!((10..=16).contains(&admitted), "{admitted}");
+    let other = Ticket { may_spill: true, ..upload(200, 1_000) };
+    assert!(matches!(scheduler.arrive(NOW, other).0, Admission::Rejected(Rejection::Busy, _)));
+}
+
+#[test]
+fn the_next_body_waits_for_those_that_take_longer_than_reserved() {
+    let mut scheduler = narrow_scheduler();
+    for id in 0..10 {
+        scheduler.arrive(NOW, upload(id, 5_000));
+    }
+    // The reserved time is over, and no body is complete.
+    let later = NOW + Duration::from_secs(1);
+    let (admission, _) = scheduler.arrive(later, upload(20, 5_000));
+    let Admission::Receive(start) = admission else {
+        panic!("the upload is admitted");
+    };
+    assert!(start > later + Duration::from_millis(300));
+    for _ in 0..11 {
+        scheduler.body_ended(60_000);
+    }
+    let much_later = NOW + Duration::from_secs(3);
+    let (admission, _) = scheduler.arrive(much_later, upload(21, 5_000));
+    assert_eq!(admission, Admission::Receive(much_later));
+}
--- a/crates/medlarpoint_routing/tests/scheduler.rs
+++ b/crates/medlarpoint_routing/tests/scheduler.rs
@@ -39,7 +39,7 @@
     fn new(seed: u64) -> Self {
         let policy = Policy { ramp_ms: 0, queue_per_slot: 4, ..Policy::default() };
         let mut scheduler = Scheduler::new(SLOTS, policy, Duration::ZERO);
-        scheduler.set_link(Link::new(Some(LINK_MEGABITS)));
+        scheduler.set_link(Link::for_responses(Some(LINK_MEGABITS)));
         scheduler.link_mut().observe(&name("pack"), PACK_BYTES);
         Self {
             scheduler,
@@ -60,6 +60,7 @@
             class: Class::Short,
             tenant: name(if self.rng.random_bool(0.5) { "a" } else { "b" }),
             weight: 1,
+            body_bytes: 0,
             rank: self.rng.random_range(0..3),
             route: name(if large { "pack" } else { "lookup" }),
             useful_until: self
@@ -84,6 +85,7 @@
                 self.waiting.insert(ticket.attempt, ticket);
             }
             Admission::Rejected(..) => self.decided += 1,
+            Admission::Receive(_) => unreachable!("no call has a request body"),
         }
         self.apply(displaced.into_iter().collect());
     }
