Let three daemons of each data centre keep an entry in the store

Ruled out: a longer period of renewal, since an entry lost in an outage has to be back within two seconds. What changes: a daemon that starts needs one other daemon to learn of all of them. Three members of each data centre, by rendezvous hash, keep an entry; a daemon that knows no other member does too. Daemons that wait for the first version query the store at a rate that is limited for the fleet.

--- a/crates/medlarpoint_daemon/src/control.rs
+++ b/crates/medlarpoint_daemon/src/control.rs
@@ -295,7 +295,7 @@
         let table = control.detector.table();
         let position = match role {
             Role::Gateway => Self::gateway_rank(control),
-            Role::Relay | Role::Reader | Role::Reporter => rank(
+            Role::Relay | Role::Reader | Role::Reporter | Role::Registrar => rank(
                 role,
                 &own_record.vm,
                 table.live_in(&own_record.data_centre).map(|record| &record.vm),
--- a/crates/medlarpoint_daemon/src/registry.rs
+++ b/crates/medlarpoint_daemon/src/registry.rs
@@ -1,7 +1,9 @@
 //! Registers this daemon in the store, where daemons discover each other.
 //!
-//! Each entry is bound to a lease, so that the entry of a stopped daemon expires.
-//! Membership, not the registry, decides which daemons are alive.
+//! A daemon that starts needs one other daemon to learn of all of them. Only a few
+//! members of each data centre therefore keep an entry, so that the calls to the store
+//! do not grow with the fleet. Each entry is bound to a lease, so that the entry of a
+//! stopped daemon expires. Membership, not the registry, decides which daemons are alive.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -21,17 +23,19 @@
 
 /// Time after which the entry of a stopped daemon expires.
 const LEASE_TTL: Duration = Duration::from_secs(8);
-/// Lower limit on the time between renewals. It is below two seconds because an entry
-/// lost during an outage of the store must exist again within two seconds of its end.
-const MIN_RENEWAL_PERIOD: Duration = Duration::from_millis(1_500);
-/// Limit on the renewals of all daemons of the fleet, per second.
-const FLEET_RENEWALS_PER_S: f64 = 400.0;
+/// Time between renewals. It is below two seconds because an entry lost during an outage
+/// of the store must exist again within two seconds of its end.
+const RENEWAL_PERIOD: Duration = Duration::from_millis(1_500);
+/// Limit on the wait of a daemon that starts before it registers. Of many that start at
+/// the same time, the later ones find the entries of the first.
+const START_SPREAD: Duration = Duration::from_millis(400);
 /// Limit on the wait after a failed store call.
 const MAX_BACKOFF: Duration = Duration::from_millis(1_200);
-/// Number of renewals between two searches for daemons that membership does not know.
-const RENEWALS_PER_SEARCH: u32 = 8;
-/// Renewals after the start that are followed by a search: the first one finds daemons
-/// that started at the same time, the second one covers a failure of the first.
+/// Number of renewal periods between two searches for daemons that membership does not
+/// know.
+const PERIODS_PER_SEARCH: u32 = 8;
+/// Periods after the start that begin with a search: the first one finds daemons that
+/// started at the same time, the second one covers a failure of the first.
 const STARTUP_SEARCHES: [u32; 2] = [1, 4];
 /// Limit on the unknown members with which one search exchanges tables.
 const MAX_JOINS_PER_SEARCH: usize = 3;
@@ -45,23 +49,32 @@
 pub(crate) async fn run(driver: Arc<Driver>) {
     let shared = Arc::clone(driver.shared());
     let mut entry = Entry::default();
-    let mut renewals = 0_u32;
+    let mut periods = 0_u32;
+    let mut wait = jitter(START_SPREAD);
     loop {
-        let wait = tokio::select! {
+        tokio::select! {
+            () = tokio::time::sleep(wait) => {}
+            () = shared.lifecycle.wait_closed() => break,
+        }
+        wait = tokio::select! {
             wait = entry.refresh(&driver) => wait,
             () = shared.lifecycle.wait_closed() => break,
         };
-        renewals += 1;
-        if entry.lease.is_some() && should_search(&shared, renewals) {
+        periods += 1;
+        if should_search(&shared, periods) {
             join_unknown(&shared).await;
         }
-        tokio::select! {
-            () = tokio::time::sleep(wait) => {}
-            () = shared.lifecycle.wait_closed() => break,
-        }
     }
 }
 
+/// Returns whether this daemon keeps an entry.
+fn is_registrar(shared: &Shared) -> bool {
+    let control = lock(&shared.control);
+    let own_record = control.detector.local_record();
+    let live = control.detector.table().live_in(&own_record.data_centre);
+    medlarpoint_membership::is_registrar(&own_record.vm, live.map(|record| &record.vm))
+}
+
 /// Last known state of this daemon's entry.
 #[derive(Debug, Default)]
 struct Entry {
@@ -70,9 +83,16 @@
 }
 
 impl Entry {
-    /// Renews the lease or creates the entry. Returns the wait until the next renewal.
+    /// Renews the lease or creates the entry, if this daemon is to keep one. Returns the
+    /// wait until the next renewal.
     async fn refresh(&mut self, driver: &Driver) -> Duration {
         let shared = driver.shared();
+        if !is_registrar(shared) {
+            // The entry expires with its lease.
+            self.lease = None;
+            set_store_latency(driver, None);
+            return RENEWAL_PERIOD;
+        }
         let result = match self.lease {
             Some(lease) => shared.store.renew(lease).await,
             None => self.create(shared).await,
@@ -80,14 +100,14 @@
         if result == Err(Error::LeaseNotFound) {
             self.lease = None;
             shared.emit(&Event::EntryLapsed {});
-            return jitter(MIN_RENEWAL_PERIOD / 10);
+            return jitter(RENEWAL_PERIOD / 10);
         }
         record_store_result(shared, result.as_ref().err());
         let round_trip = result.is_ok().then(|| shared.store.round_trip()).flatten();
         set_store_latency(driver, round_trip.map(LatencyBucket::from));
         if result.is_ok() {
             self.failures = 0;
-            return renewal_period(shared);
+            return RENEWAL_PERIOD;
         }
         self.failures = (self.failures + 1).min(4);
         jitter(MAX_BACKOFF * self.failures / 4).max(MAX_BACKOFF / 8)
@@ -110,13 +130,6 @@
     }
 }
 
-/// Returns the time between renewals. It grows with the fleet so that the total rate
-/// is limited.
-fn renewal_period(shared: &Shared) -> Duration {
-    let members = lock(&shared.control).detector.table().live().count();
-    MIN_RENEWAL_PERIOD.max(Duration::from_secs_f64(members as f64 / FLEET_RENEWALS_PER_S))
-}
-
 /// Announces the round-trip time to the store if it moved to another bucket.
 fn set_store_latency(driver: &Driver, latency: Option<LatencyBucket>) {
     let announced = lock(&driver.shared().control).detector.local_record().store_latency;
@@ -125,13 +138,13 @@
     }
 }
 
-/// Returns whether to search for unknown members after this renewal. Each daemon
-/// searches after its start; later only one member of each data centre does.
-fn should_search(shared: &Shared, renewals: u32) -> bool {
-    if STARTUP_SEARCHES.contains(&renewals) {
+/// Returns whether to search for unknown members in this period. Each daemon searches
+/// after its start; later only one member of each data centre does.
+fn should_search(shared: &Shared, periods: u32) -> bool {
+    if STARTUP_SEARCHES.contains(&periods) {
         return true;
     }
-    if !renewals.is_multiple_of(RENEWALS_PER_SEARCH) {
+    if !periods.is_multiple_of(PERIODS_PER_SEARCH) {
         return false;
     }
     let control = lock(&shared.control);
--- a/crates/medlarpoint_daemon/src/startup.rs
+++ b/crates/medlarpoint_daemon/src/startup.rs
@@ -29,8 +29,10 @@
 const MIN_BACKOFF: Duration = Duration::from_millis(200);
 /// Limit on the wait between rounds.
 const MAX_BACKOFF: Duration = Duration::from_millis(1_500);
-/// Time after which a daemon that knows peers queries the store again itself.
-const STORE_RETRY_INTERVAL: Duration = Duration::from_secs(2);
+/// Shortest time after which a daemon that knows peers queries the store again itself.
+const MIN_STORE_RETRY_INTERVAL: Duration = Duration::from_secs(2);
+/// Limit on the queries of all daemons that start and know peers, per second.
+const FLEET_QUERIES_PER_S: f64 = 25.0;
 
 /// Outcome of one round of catching up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -80,16 +82,23 @@
     }
 }
 
+/// Returns the time after which a daemon that knows peers queries the store again. It
+/// grows with the fleet so that the total rate is limited.
+fn store_retry_interval(members: usize) -> Duration {
+    MIN_STORE_RETRY_INTERVAL.max(Duration::from_secs_f64(members as f64 / FLEET_QUERIES_PER_S))
+}
+
 /// Returns whether this daemon queries the store in this round. Once it knows peers, it
-/// leaves the store to the fleet's readers for [`STORE_RETRY_INTERVAL`].
+/// leaves the store to the fleet's readers for [`store_retry_interval`].
 fn should_query_store(shared: &Shared, queried_at: Option<Duration>) -> bool {
     let Some(queried_at) = queried_at else {
         return true;
     };
-    if shared.now().saturating_sub(queried_at) >= STORE_RETRY_INTERVAL {
+    let control = lock(&shared.control);
+    let members = control.detector.table().live().count();
+    if shared.now().saturating_sub(queried_at) >= store_retry_interval(members) {
         return true;
     }
-    let control = lock(&shared.control);
     let own_vm = &control.detector.local_record().vm;
     let table = control.detector.table();
     let knows_peers = table.live().any(|record| record.vm != *own_vm);
--- a/crates/medlarpoint_daemon/src/startup/tests.rs
+++ b/crates/medlarpoint_daemon/src/startup/tests.rs
@@ -1,8 +1,10 @@
 //! Tests of [`super`].
 
+use std::time::Duration;
+
 use medlarpoint_model::Version;
 
-use super::{Outcome, may_serve};
+use super::{Outcome, may_serve, store_retry_interval};
 use crate::settings::Source;
 
 #[test]
@@ -24,3 +26,13 @@
         assert!(may_serve(Source::Operator, outcome, Version(1)));
     }
 }
+
+/// A fleet that starts before the operator has published a version.
+#[test]
+fn daemons_that_wait_for_a_version_query_the_store_at_a_limited_rate() {
+    assert_eq!(store_retry_interval(15), Duration::from_secs(2));
+    for members in [294, 1_100] {
+        let rate = members as f64 / store_retry_interval(members).as_secs_f64();
+        assert!(rate < 30.0, "{members} daemons make {rate} queries a second");
+    }
+}
--- a/crates/medlarpoint_membership/src/role.rs
+++ b/crates/medlarpoint_membership/src/role.rs
@@ -15,6 +15,8 @@
     Gateway,
     /// Summarises the state of its data centre.
     Reporter,
+    /// Keeps an entry in the store, by which daemons that start find its data centre.
+    Registrar,
 }
 
 fn weight(role: Role, vm: &Vm) -> u64 {
