Reject late calls at once while others wait in vain, and test uploads over narrow links

What changes: once a late call has waited in vain, later ones are rejected at once, except for one that shows when slots are free again. The future of a call is boxed, since a connection reserves its size while it is idle. A test sends uploads between daemons on narrow links.

--- a/crates/medlarpoint_bench/tests/path.rs
+++ b/crates/medlarpoint_bench/tests/path.rs
@@ -11,8 +11,9 @@
 
 /// Starts a fleet of three daemons, each with a target of the service `orders`, in
 /// three data centres of two regions.
-async fn start_fleet() -> Fleet {
+async fn start_fleet(extra_settings: &str) -> Fleet {
     let mut fleet = Fleet::start(1).await.unwrap();
+    fleet.set_extra_settings(extra_settings);
     for (index, data_centre) in ["stockholm-1", "stockholm-2", "gothenburg-1"].iter().enumerate() {
         let region = data_centre.split('-').next().unwrap().to_owned();
         let site =
@@ -40,7 +41,13 @@
 
 /// Starts a fleet with the configuration of the preset in force.
 async fn start_configured_fleet() -> Fleet {
-    let fleet = start_fleet().await;
+    start_configured_fleet_with("").await
+}
+
+/// Starts a fleet with the configuration of the preset in force and further settings for
+/// its daemons.
+async fn start_configured_fleet_with(extra_settings: &str) -> Fleet {
+    let fleet = start_fleet(extra_settings).await;
     let (exit, version) = fleet.apply(0, Preset::Talskrivarna.document()).await.unwrap();
     assert_eq!(exit, Exit::Success);
     fleet.wait_version(version).await.unwrap();
@@ -62,6 +69,30 @@
     fleet.close().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn large_bodies_arrive_complete_over_narrow_links() {
+    const UPLOAD_BYTES: usize = 60_000;
+    let fleet = start_configured_fleet_with("[limits]\nlink_megabits = 10").await;
+    let http = HttpClient::new(Duration::from_secs(10));
+    let uploads: Vec<_> = (0..12)
+        .map(|number| {
+            let id = format!("upload-{number}");
+            let mut request = keyed_call(&fleet, number % 3, &id);
+            *request.body_mut() = Full::new(vec![b'.'; UPLOAD_BYTES].into());
+            let http = http.clone();
+            (id, tokio::spawn(async move { http.send(request).await }))
+        })
+        .collect();
+    for (id, upload) in uploads {
+        let response = upload.await.unwrap().unwrap();
+        assert_eq!(response.status(), StatusCode::OK, "{id}: {:?}", response.body());
+        let text = String::from_utf8_lossy(response.body()).into_owned();
+        assert!(text.contains(&format!(" {id} {UPLOAD_BYTES}\n")), "{text}");
+        assert_eq!(fleet.execution_log.count(&id), 1);
+    }
+    fleet.close().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn keyed_calls_are_rejected_and_reads_succeed_while_the_store_is_down() {
     let fleet = start_configured_fleet().await;
--- a/crates/medlarpoint_daemon/src/server.rs
+++ b/crates/medlarpoint_daemon/src/server.rs
@@ -91,7 +91,8 @@
 {
     service_fn(move |request| {
         request_received.notify_one();
-        let response = handle(Arc::clone(&shared), request);
+        // Boxed, since the connection reserves the size of this future while it is idle.
+        let response = Box::pin(handle(Arc::clone(&shared), request));
         async move { Ok::<_, Infallible>(response.await) }
     })
 }
--- a/crates/medlarpoint_routing/src/scheduler.rs
+++ b/crates/medlarpoint_routing/src/scheduler.rs
@@ -116,6 +116,9 @@
     running: u32,
     queue: Queue,
     service_times: ServiceTimes,
+    /// Whether the last late call to leave the queue had waited in vain. Late calls are
+    /// then rejected at once, except for one that shows when slots are free again.
+    late_starved: bool,
 }
 
 /// Scheduler for the slots of one target, with a queue per class.
@@ -197,6 +200,8 @@
             if now >= ticket.deadline {
                 return (Admission::Rejected(Rejection::TooLate, MIN_RETRY_AFTER), None);
             }
+            // A slot is free and no call waits for it.
+            self.class_state_mut(class).late_starved = false;
             self.start(class, &ticket.route);
             return (Admission::Run, None);
         }
@@ -318,6 +323,9 @@
             };
             // Collected before any removal, because removals change the queue.
             let late: Vec<AttemptId> = self.class_state(class).queue.find(late);
+            let waited_in_vain =
+                self.class_state(class).queue.any(|t| forecast.has_waited_too_long(t));
+            self.class_state_mut(class).late_starved |= waited_in_vain;
             decisions.extend(late.into_iter().filter_map(|id| self.reject_late(now, class, id)));
         }
         decisions.extend(self.fill_slots(now));
@@ -365,6 +373,9 @@
                 decisions.push(Decision::Rejected(ticket.attempt, Rejection::TooLate, retry_after));
                 continue;
             }
+            if !in_time(&ticket) {
+                state.late_starved = false;
+            }
             self.start(class, &ticket.route);
             decisions.push(Decision::Run(ticket.attempt));
         }
@@ -450,8 +461,9 @@
     /// Returns whether the calls of `priority` that go before `ticket` are starved
     /// by calls of higher priority.
     fn is_starved(&self, now: Duration, priority: Priority, ticket: &Ticket) -> bool {
-        let first = self.class_state(ticket.class).queue.earliest_arrival(priority, ticket);
-        first.is_some_and(|since| now.saturating_sub(since) > MAX_LATE_WAIT)
+        let state = self.class_state(ticket.class);
+        let first = state.queue.earliest_arrival(priority, ticket);
+        first.is_some_and(|since| state.late_starved || now.saturating_sub(since) > MAX_LATE_WAIT)
     }
 
     /// Returns the queue position of a call that arrives now with `priority`.
--- a/crates/medlarpoint_routing/src/scheduler/tests.rs
+++ b/crates/medlarpoint_routing/src/scheduler/tests.rs
@@ -293,3 +293,41 @@
     let (admission, _) = scheduler.arrive(much_later, upload(21, 5_000));
     assert_eq!(admission, Admission::Receive(much_later));
 }
+
+/// Sustained overload: calls in time take the only slot, and callers that were rejected
+/// come back late, 50 times a second.
+#[test]
+fn late_calls_do_not_wait_in_vain_one_after_the_other() {
+    let mut scheduler = busy_scheduler();
+    let step = Duration::from_millis(20);
+    let took = Some(Duration::from_millis(100));
+    let (mut waited_in_vain, mut rejected_at_once) = (0, 0);
+    for tick in 0..500_u32 {
+        let now = NOW + step * tick;
+        let late = Ticket {
+            useful_until: Some(NOW),
+            arrived: now,
+            deadline: now + Duration::from_secs(2),
+            ..due(u128::from(tick) + 1_000, 0)
+        };
+        if let Admission::Rejected(..) = scheduler.arrive(now, late).0 {
+            rejected_at_once += 1;
+        }
+        if tick % 5 == 0 {
+            let useful_until = Some(now + Duration::from_millis(400));
+            let in_time =
+                Ticket { useful_until, arrived: now, ..due(u128::from(tick) + 10_000, 0) };
+            scheduler.arrive(now, in_time);
+            scheduler.release(now, Class::Short, &route(), took);
+        }
+        waited_in_vain += scheduler.sweep(now).len();
+    }
+    assert!(waited_in_vain <= 60, "{waited_in_vain}");
+    assert!(rejected_at_once >= 430, "{rejected_at_once}");
+    // Calls in time stop, and late ones are served again.
+    let now = NOW + step * 500;
+    assert_eq!(scheduler.release(now, Class::Short, &route(), took).len(), 1);
+    let deadline = now + Duration::from_secs(2);
+    let late = Ticket { arrived: now, deadline, ..due(50_000, 0) };
+    assert_eq!(scheduler.arrive(now, late).0, Admission::Queued);
+}
