Withhold the end of a held body until its caller is known to be there; cheaper starts

While a body is held, the proxy does not read the caller's connection, so it learns that the caller has left only behind the last byte; by then the whole body had been sent on. What changes: the last chunk of a held body is passed on only once the end of the body has been read, and with it the close of the connection. The first listing of a daemon that starts may be stale, and a daemon that finds peers within two seconds of its own read of the configuration does not read it again. The new test of the last chunk fails without the change; the test over real sockets also passes without it, since the close follows within the same poll there.

--- a/crates/medlarpoint_bench/tests/path.rs
+++ b/crates/medlarpoint_bench/tests/path.rs
@@ -93,6 +93,40 @@
     fleet.close().await;
 }
 
+/// The caller of the second upload closes its connection while the first one takes the
+/// link. All of its bytes have been sent by then.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upload_whose_caller_leaves_while_it_waits_for_the_link_does_not_run() {
+    let mut fleet = Fleet::start(1).await.unwrap();
+    fleet.set_extra_settings("[limits]\nlink_megabits = 1");
+    for (vm, service) in [("vm-0", None), ("vm-1", Some(Preset::Talskrivarna.services()[1]))] {
+        let (vm, data_centre, region) = (vm.into(), "stockholm-1".into(), "stockholm".into());
+        fleet.add(Site { vm, data_centre, region }, service).await.unwrap();
+    }
+    fleet.wait_ready().await.unwrap();
+    fleet.wait_members(2).await.unwrap();
+    let (_, version) = fleet.apply(0, Preset::Talskrivarna.document()).await.unwrap();
+    fleet.wait_version(version).await.unwrap();
+    let upload = |id: &str| {
+        let mut request = keyed_call(&fleet, 0, id);
+        *request.body_mut() = Full::new(vec![b'.'; 60_000].into());
+        request
+    };
+    let http = HttpClient::new(Duration::from_secs(10));
+    let (first, second, third) = (upload("first"), upload("second"), upload("third"));
+    let first = tokio::spawn(async move { http.send(first).await });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    // The client gives up, which closes its connection.
+    assert!(HttpClient::new(Duration::from_millis(100)).send(second).await.is_err());
+    assert_eq!(first.await.unwrap().unwrap().status(), StatusCode::OK);
+    // The link of this upload is reserved after that of the second.
+    let third = HttpClient::new(Duration::from_secs(10)).send(third).await.unwrap();
+    assert_eq!(third.status(), StatusCode::OK);
+    let counts = ["first", "second", "third"].map(|id| fleet.execution_log.count(id));
+    assert_eq!(counts, [1, 0, 1]);
+    fleet.close().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn keyed_calls_are_rejected_and_reads_succeed_while_the_store_is_down() {
     let fleet = start_configured_fleet().await;
--- a/crates/medlarpoint_daemon/src/held_body.rs
+++ b/crates/medlarpoint_daemon/src/held_body.rs
@@ -58,7 +58,13 @@
 
     /// Returns a reader that starts at once.
     pub(crate) fn reader(self: &Arc<Self>) -> Reader {
-        Reader { body: Arc::clone(self), next_chunk: 0, finished: false, permission: None }
+        Reader {
+            body: Arc::clone(self),
+            next_chunk: 0,
+            withheld: None,
+            finished: false,
+            permission: None,
+        }
     }
 
     /// Returns a reader that starts once the receiver of `request` asks for the body,
@@ -121,11 +127,17 @@
 }
 
 /// Reads a held body for one attempt.
+///
+/// Whether the caller is still there shows only at the end of what it has sent. The last
+/// chunk is therefore withheld until then, so that a call whose caller has left in the
+/// meantime never arrives complete.
 #[derive(Debug)]
 pub(crate) struct Reader {
     body: Arc<HeldBody>,
     /// Index of the next chunk.
     next_chunk: usize,
+    /// Chunk that is returned once it is known whether it is the last one.
+    withheld: Option<Bytes>,
     finished: bool,
     /// Completes once the receiver asks for the body. `None` if it has.
     permission: Option<oneshot::Receiver<()>>,
@@ -143,22 +155,36 @@
             }
             self.permission = None;
         }
+        while !self.finished {
+            match ready!(self.poll_source(cx)) {
+                Some(Ok(chunk)) => {
+                    self.next_chunk += 1;
+                    if let Some(previous) = self.withheld.replace(chunk) {
+                        return Poll::Ready(Some(Ok(previous)));
+                    }
+                }
+                Some(Err(error)) => return Poll::Ready(Some(Err(error))),
+                None => self.finished = true,
+            }
+        }
+        Poll::Ready(self.withheld.take().map(Ok))
+    }
+
+    /// Reads the next chunk, from memory if an earlier attempt has read it.
+    fn poll_source(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
         let mut source = lock(&self.body.source);
         if self.next_chunk < source.read_chunks && !source.is_replayable() {
             return Poll::Ready(Some(Err(BodyError::Consumed)));
         }
-        let chunk = match source.kept.get(self.next_chunk) {
-            Some(kept) => Some(Ok(kept.clone())),
-            None => ready!(source.poll_next(cx)),
-        };
-        self.next_chunk += 1;
-        self.finished = chunk.is_none();
-        Poll::Ready(chunk)
+        match source.kept.get(self.next_chunk) {
+            Some(kept) => Poll::Ready(Some(Ok(kept.clone()))),
+            None => source.poll_next(cx),
+        }
     }
 
     /// Returns whether the end of the body was returned.
     pub(crate) fn is_finished(&self) -> bool {
-        self.finished
+        self.finished && self.withheld.is_none()
     }
 
     /// Returns the size of the complete body.
--- a/crates/medlarpoint_daemon/src/held_body/tests.rs
+++ b/crates/medlarpoint_daemon/src/held_body/tests.rs
@@ -1,12 +1,20 @@
 //! Tests of [`super`].
 
+use std::convert::Infallible;
+use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, Waker};
+use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, header};
+use http::{Request, Response, header};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::io::AsyncWriteExt;
 
 use super::{HeldBody, MAX_REPLAY_BYTES, Reader};
 use crate::body::{Body, BodyError};
+use crate::body_limit::Limiter;
 
 type Chunk = Poll<Option<Result<Bytes, BodyError>>>;
 
@@ -69,3 +77,46 @@
     assert!(!body.is_replayable());
     assert!(matches!(poll(&mut body.reader()), Poll::Ready(Some(Err(BodyError::Consumed)))));
 }
+
+/// Returns the body of a request with 60,000 bytes that arrives over `stream`.
+async fn receive_request(stream: tokio::io::DuplexStream) -> Arc<HeldBody> {
+    let (sender, receiver) = tokio::sync::oneshot::channel();
+    let sender = Mutex::new(Some(sender));
+    let service = service_fn(move |request: Request<Incoming>| {
+        if let Some(sender) = super::lock(&sender).take() {
+            sender.send(request.into_body()).expect("the test waits");
+        }
+        std::future::pending::<Result<Response<Body>, Infallible>>()
+    });
+    let builder = hyper::server::conn::http1::Builder::new();
+    tokio::spawn(builder.serve_connection(TokioIo::new(stream), service));
+    let incoming = receiver.await.expect("the request arrives");
+    let limiter = Limiter::new(u64::MAX, Duration::from_secs(60));
+    HeldBody::new(Body::limited(Bytes::new(), incoming, limiter))
+}
+
+/// Reads until no more of the body arrives.
+async fn read_available(reader: &mut Reader) -> usize {
+    let mut read = 0;
+    for _ in 0..1_000 {
+        if let Poll::Ready(Some(chunk)) = poll(reader) {
+            read += chunk.expect("the body is complete").len();
+        }
+        tokio::task::yield_now().await;
+    }
+    read
+}
+
+#[tokio::test]
+async fn the_last_chunk_is_withheld_until_the_caller_has_sent_the_whole_body() {
+    let (mut caller, stream) = tokio::io::duplex(1 << 20);
+    let head = "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 60000\r\n\r\n";
+    caller.write_all(head.as_bytes()).await.unwrap();
+    let mut reader = receive_request(stream).await.reader();
+    caller.write_all(&vec![7; 59_999]).await.unwrap();
+    let early = read_available(&mut reader).await;
+    assert!(early < 59_999, "{early} bytes were passed on before the end of the body");
+    caller.write_all(&[7]).await.unwrap();
+    assert_eq!(early + read_available(&mut reader).await, 60_000);
+    assert!(reader.is_finished());
+}
--- a/crates/medlarpoint_daemon/src/startup.rs
+++ b/crates/medlarpoint_daemon/src/startup.rs
@@ -53,8 +53,8 @@
     let mut queried_at = None;
     loop {
         let outcome = if should_query_store(&shared, queried_at) {
-            queried_at = Some(shared.now());
-            round(&driver).await
+            let previous = queried_at.replace(shared.now());
+            round(&driver, previous).await
         } else {
             peer_round(&driver).await
         };
@@ -123,10 +123,10 @@
 }
 
 /// Runs a round that discovers peers in the store, and reads the configuration from the
-/// store if the peers hold none.
-async fn round(driver: &Driver) -> Outcome {
+/// store if the peers hold none. `previous` is the time of the round before it.
+async fn round(driver: &Driver, previous: Option<Duration>) -> Outcome {
     let shared = driver.shared();
-    let registered = registry::list(shared, Consistency::Latest).await;
+    let registered = registry::list(shared, consistency(previous)).await;
     let mut addresses = shared.settings.options.seeds.clone();
     if let Ok(records) = &registered {
         addresses.extend(by_distance(shared, records));
@@ -136,13 +136,29 @@
     addresses.truncate(MAX_PEERS_CONTACTED);
     let responsive = sync_with(shared, addresses).await;
     let pulled = pull_from_peers(driver, &responsive).await;
-    if pulled && shared.version() > Version::ZERO {
+    if pulled && (shared.version() > Version::ZERO || is_recent(previous, shared.now())) {
         return Outcome::Peers;
     }
     let read = store_reader::refresh(driver).await;
     if registered.is_ok() && read.is_ok() { Outcome::StoreOnly } else { Outcome::Unreachable }
 }
 
+/// Returns the consistency with which a round lists the entries. Entries of a fleet that
+/// is running are older than a stale read, which is cheaper; only if it led to no peers,
+/// the newest entries are needed.
+fn consistency(previous: Option<Duration>) -> Consistency {
+    match previous {
+        None => Consistency::MaybeStale,
+        Some(_) => Consistency::Latest,
+    }
+}
+
+/// Returns whether the round before was recent enough for its read of the configuration
+/// to count, once peers respond.
+fn is_recent(previous: Option<Duration>, now: Duration) -> bool {
+    previous.is_some_and(|previous| now.saturating_sub(previous) < MIN_STORE_RETRY_INTERVAL)
+}
+
 /// Returns the peer addresses of members by distance, in random order among members at
 /// the same distance.
 fn by_distance(shared: &Shared, records: &[Record]) -> Vec<SocketAddr> {
--- a/crates/medlarpoint_daemon/src/startup/tests.rs
+++ b/crates/medlarpoint_daemon/src/startup/tests.rs
@@ -4,8 +4,9 @@
 
 use medlarpoint_model::Version;
 
-use super::{Outcome, may_serve, store_retry_interval};
+use super::{Outcome, consistency, is_recent, may_serve, store_retry_interval};
 use crate::settings::Source;
+use medlarpoint_store::Consistency;
 
 #[test]
 fn peers_without_a_version_are_not_sufficient() {
@@ -36,3 +37,14 @@
         assert!(rate < 30.0, "{members} daemons make {rate} queries a second");
     }
 }
+
+/// All daemons of a fleet start at the same time, before there is a version.
+#[test]
+fn a_daemon_that_finds_peers_in_its_second_round_does_not_read_the_version_again() {
+    let first = Duration::from_secs(1);
+    assert_eq!(consistency(None), Consistency::MaybeStale);
+    assert!(!is_recent(None, first));
+    assert_eq!(consistency(Some(first)), Consistency::Latest);
+    assert!(is_recent(Some(first), first + Duration::from_millis(250)));
+    assert!(!is_recent(Some(first), first + Duration::from_secs(2)));
+}
