--- a/crates/medlarpoint_bench/src/fuzz/calls.rs
+++ b/crates/medlarpoint_bench/src/fuzz/calls.rs
@@ -12,7 +12,7 @@
 use medlarpoint_routing::{
     AttemptId, AttemptInfo, AttemptResult, AttemptStatus, Call, CallAction, CallEvent, Claim,
     ClaimResult, Completion, Constraints, Destination, FailurePoint, IdempotencyKey, Intake,
-    IntakeAction, Link, Reply, Selector,
+    IntakeAction, Reply, RequestLink, Selector,
 };
 use proptest_state_machine::StateMachineTest;
 
@@ -205,7 +205,7 @@
         let policy = Policy { ramp_ms: 0, queue_per_slot: 2, ..Policy::default() };
         let mut intake = Intake::new(vm(index), self.boot_count, policy, self.now);
         intake.scheduler_mut().set_slots(SLOTS, self.now);
-        intake.scheduler_mut().set_request_link(Link::for_requests(Some(REQUEST_LINK_MEGABITS)));
+        intake.scheduler_mut().set_request_link(RequestLink::new(Some(REQUEST_LINK_MEGABITS)));
         Inbound {
             boot: self.boot_count,
             intake,
--- a/crates/medlarpoint_daemon/src/handover.rs
+++ b/crates/medlarpoint_daemon/src/handover.rs
@@ -12,7 +12,7 @@
 use crate::event::Event;
 use crate::header;
 use crate::inbound::{InFlightAttempt, SavedResponse, load, respond};
-use crate::outbound_call::call_id;
+use crate::outbound_response::call_id;
 use crate::pool::{ExchangeError, PooledConnection};
 use crate::shaped_body;
 use crate::state::{Shared, lock};
--- a/crates/medlarpoint_daemon/src/inbound.rs
+++ b/crates/medlarpoint_daemon/src/inbound.rs
@@ -23,7 +23,7 @@
 use crate::handover::hand_over;
 use crate::header;
 use crate::held_body::MAX_REPLAY_BYTES;
-use crate::outbound_call::call_id;
+use crate::outbound_response::call_id;
 use crate::state::{Shared, lock};
 
 /// Assumed size of a request body without a declared length, in bytes. Outbound proxies
--- a/crates/medlarpoint_daemon/src/lib.rs
+++ b/crates/medlarpoint_daemon/src/lib.rs
@@ -26,6 +26,7 @@
 mod metrics;
 mod outbound;
 mod outbound_call;
+mod outbound_response;
 mod partition;
 mod peer;
 mod platform_endpoints;
--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -16,7 +16,8 @@
 use crate::body_limit::Limiter;
 use crate::event::Event;
 use crate::held_body::{HeldBody, MAX_REPLAY_BYTES};
-use crate::outbound_call::{OutboundCall, Payload, call_id, set_retry_after};
+use crate::outbound_call::{OutboundCall, Payload};
+use crate::outbound_response::{call_id, set_retry_after};
 use crate::state::{ServiceState, Shared, lock};
 use crate::{header, inbound};
 
--- a/crates/medlarpoint_daemon/src/outbound_call.rs
+++ b/crates/medlarpoint_daemon/src/outbound_call.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, request};
+use http::{HeaderValue, Request, Response, Uri, request};
 use medlarpoint_model::{Name, Version, Vm};
 use medlarpoint_platform::call;
 use medlarpoint_routing::{
@@ -22,6 +22,7 @@
 use crate::body::{Body, Buffered, EndAction, MAX_BUFFERED_BYTES, buffer};
 use crate::event::Event;
 use crate::held_body::HeldBody;
+use crate::outbound_response::{call_id, error_response};
 use crate::pool::{ExchangeError, Pool};
 use crate::state::{ServiceState, Shared, lock};
 use crate::{header, inbound};
@@ -494,47 +495,3 @@
         }
     }
 }
-
-/// Returns the response to a call for which no target's response can be passed on.
-/// `fractional` selects a retry delay in fractions of a second.
-fn error_response(result: CallResult, fractional: bool) -> Response<Body> {
-    let (status, outcome, point, retry_after) = match result {
-        CallResult::NotRun { point, retry_after } => {
-            (StatusCode::SERVICE_UNAVAILABLE, Outcome::NotRun, point, Some(retry_after))
-        }
-        CallResult::Ran | CallResult::Response(_) => {
-            (StatusCode::BAD_GATEWAY, Outcome::Ran, FailurePoint::HalfAnswer, None)
-        }
-        CallResult::Unknown(FailurePoint::Deadline) => {
-            (StatusCode::GATEWAY_TIMEOUT, Outcome::Unknown, FailurePoint::Deadline, None)
-        }
-        CallResult::Unknown(point) => (StatusCode::BAD_GATEWAY, Outcome::Unknown, point, None),
-    };
-    let text = format!("{outcome} at {point}: {}\n", point.reason());
-    let mut response = Response::new(Body::full(text.into()));
-    *response.status_mut() = status;
-    let headers = response.headers_mut();
-    header::set(headers, header::OUTCOME, outcome.into());
-    header::set(headers, header::POINT, point.into());
-    if let Some(after) = retry_after {
-        header::set(headers, header::RETRY_AFTER_MS, &after.as_millis().to_string());
-        set_retry_after(headers, after, fractional);
-    }
-    response
-}
-
-/// Returns the id that a caller gave a call, for log lines; `-` if there is none.
-pub(crate) fn call_id(id: Option<&HeaderValue>) -> String {
-    id.and_then(|id| id.to_str().ok()).unwrap_or("-").to_owned()
-}
-
-/// Sets the `Retry-After` header, in fractions of a second or, unless
-/// `fractional`, rounded up to full seconds, as RFC 9110 defines it.
-pub(crate) fn set_retry_after(headers: &mut HeaderMap, after: Duration, fractional: bool) {
-    if fractional {
-        call::set_retry_after(headers, after);
-        return;
-    }
-    let seconds = after.as_millis().div_ceil(1_000).max(1).to_string();
-    header::set(headers, http::header::RETRY_AFTER, &seconds);
-}
--- a/crates/medlarpoint_daemon/src/settings.rs
+++ b/crates/medlarpoint_daemon/src/settings.rs
@@ -7,7 +7,7 @@
 use medlarpoint_model::{DataCentre, Name, Region, Vm};
 use medlarpoint_platform::bounds::Bounds;
 use medlarpoint_platform::store::Endpoint;
-use medlarpoint_routing::{Link, NetworkCosts, Strategy};
+use medlarpoint_routing::{Link, NetworkCosts, RequestLink, Strategy};
 use schemars::JsonSchema;
 use serde::Deserialize;
 use strum::IntoEnumIterator;
@@ -372,8 +372,8 @@
     }
 
     /// Returns the link over which request bodies are received.
-    pub fn request_link(&self) -> Link {
-        Link::for_requests(self.narrow_megabits())
+    pub fn request_link(&self) -> RequestLink {
+        RequestLink::new(self.narrow_megabits())
     }
 
     /// Returns the rate of the link in megabits per second; `None` if it is no
--- a/crates/medlarpoint_routing/src/intake/tests.rs
+++ b/crates/medlarpoint_routing/src/intake/tests.rs
@@ -5,7 +5,9 @@
 use medlarpoint_model::{Class, Idempotency, Policy, Vm};
 
 use super::{Action, ClaimResult, Completion, Intake, Reply};
-use crate::{AttemptId, AttemptInfo, AttemptStatus, Claim, FailurePoint, IdempotencyKey, Link};
+use crate::{
+    AttemptId, AttemptInfo, AttemptStatus, Claim, FailurePoint, IdempotencyKey, RequestLink,
+};
 
 const NOW: Duration = Duration::from_secs(100);
 const BOOT: u64 = 7;
@@ -170,7 +172,7 @@
 /// An intake on a narrow link, and the properties of a call with a large body.
 fn narrow_intake() -> Intake<&'static str> {
     let mut intake = intake();
-    intake.scheduler_mut().set_request_link(Link::for_requests(Some(10.0)));
+    intake.scheduler_mut().set_request_link(RequestLink::new(Some(10.0)));
     intake
 }
 
--- a/crates/medlarpoint_routing/src/lib.rs
+++ b/crates/medlarpoint_routing/src/lib.rs
@@ -22,6 +22,7 @@
 mod outcome;
 mod picker;
 mod priority;
+mod request_link;
 mod route_table;
 mod scheduler;
 mod service_times;
@@ -43,6 +44,7 @@
 pub use picker::{
     CallInfo, Destination, Endpoint, Locality, NetworkCosts, Picker, ResponseInfo, Strategy,
 };
+pub use request_link::RequestLink;
 pub use route_table::{ResolvedRoute, RouteTable};
 pub use scheduler::{Admission, Decision, Load, Rejection, Scheduler, Ticket};
 pub use wait_estimator::WaitEstimator;
--- a/crates/medlarpoint_routing/src/link.rs
+++ b/crates/medlarpoint_routing/src/link.rs
@@ -58,7 +58,7 @@
 
     /// Creates a link for request bodies with a rate in megabits per second; without
     /// a rate, bodies are never delayed.
-    pub fn for_requests(megabits: Option<f64>) -> Self {
+    pub(crate) fn for_requests(megabits: Option<f64>) -> Self {
         Self::with_share(megabits, REQUEST_SHARE)
     }
 
--- a/crates/medlarpoint_routing/src/scheduler.rs
+++ b/crates/medlarpoint_routing/src/scheduler.rs
@@ -12,10 +12,9 @@
 use crate::forecast::{Forecast, MAX_LATE_WAIT, Position};
 use crate::link::Link;
 use crate::priority::{Priority, Queue};
+use crate::request_link::RequestLink;
 use crate::service_times::ServiceTimes;
 
-/// Limit of the request bodies that are on the link at a time, in bytes.
-const BODY_IN_TRANSFER_BYTES: usize = 128 * 1024;
 /// Lower limit of the advised time until a retry.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -137,9 +136,7 @@
     /// Link in the direction of the responses.
     link: Link,
     /// Link in the direction of the requests.
-    request_link: Link,
-    /// Size of the request bodies that are admitted and not complete, in bytes.
-    receiving_bytes: usize,
+    request_link: RequestLink,
 }
 
 impl Scheduler {
@@ -147,9 +144,8 @@
     /// every call is rejected.
     pub fn new(slots: u32, policy: Policy, now: Duration) -> Self {
         let (short, long) = (ClassState::default(), ClassState::default());
-        let (link, request_link) = (Link::default(), Link::default());
-        let receiving_bytes = 0;
-        Self { slots, policy, ramp_start: now, short, long, link, request_link, receiving_bytes }
+        let (link, request_link) = (Link::default(), RequestLink::default());
+        Self { slots, policy, ramp_start: now, short, long, link, request_link }
     }
 
     /// Replaces the link over which responses are sent.
@@ -158,10 +154,15 @@
     }
 
     /// Replaces the link over which request bodies are received.
-    pub fn set_request_link(&mut self, link: Link) {
+    pub fn set_request_link(&mut self, link: RequestLink) {
         self.request_link = link;
     }
 
+    /// Returns the link over which request bodies are received.
+    pub fn request_link_mut(&mut self) -> &mut RequestLink {
+        &mut self.request_link
+    }
+
     /// Returns the link over which responses are sent.
     pub fn link_mut(&mut self) -> &mut Link {
         &mut self.link
@@ -235,9 +236,9 @@
     /// other bodies. Bodies are therefore received one after the other, and only if
     /// the response can still come in time; late ones must be able to start soon.
     fn admit_body(&mut self, now: Duration, usable: u32, ticket: &Ticket) -> Admission {
-        let start = self.next_body_start(now);
+        let start = self.request_link.next_start(now);
         let wait = start.saturating_sub(now);
-        let transfer = self.request_link.transfer_time(ticket.body_bytes as f64);
+        let transfer = self.request_link.transfer_time(ticket.body_bytes);
         let received_at = start + transfer;
         let (_, position) = self.place(now, usable, ticket);
         let position = Position {
@@ -258,30 +259,10 @@
                 return Admission::Rejected(Rejection::TooLate, retry_after);
             }
         }
-        self.request_link.reserve_from(start, ticket.body_bytes);
-        self.receiving_bytes += ticket.body_bytes;
+        self.request_link.admit(start, ticket.body_bytes);
         Admission::Receive(start)
     }
 
-    /// Returns the time at which the next request body can be started. Bodies may take
-    /// longer than reserved, so those that are not complete count as well; up to
-    /// [`BODY_IN_TRANSFER_BYTES`] of them are on the link now.
-    fn next_body_start(&self, now: Duration) -> Duration {
-        let waiting = self.receiving_bytes.saturating_sub(BODY_IN_TRANSFER_BYTES);
-        let drained = now + self.request_link.transfer_time(waiting as f64);
-        self.request_link.next_start(now).max(drained)
-    }
-
-    /// Records that an admitted request body is complete or will not be.
-    pub fn body_ended(&mut self, bytes: usize) {
-        self.receiving_bytes = self.receiving_bytes.saturating_sub(bytes);
-    }
-
-    /// Releases the link time of an admitted request body that was not started.
-    pub fn release_body(&mut self, bytes: usize) {
-        self.request_link.release(bytes);
-    }
-
     /// Releases a slot and returns the queued calls that run next or are too
     /// late to run. `took` is the service time, if the call ran.
     pub fn release(
@@ -340,7 +321,7 @@
             slots: self.usable_slots(now),
             pace_percent: 0,
             link_ms: self.link_backlog(now).as_millis() as u32,
-            receive_ms: self.next_body_start(now).saturating_sub(now).as_millis() as u32,
+            receive_ms: self.request_link.next_start(now).saturating_sub(now).as_millis() as u32,
         }
     }
 
--- a/crates/medlarpoint_routing/src/scheduler/tests.rs
+++ b/crates/medlarpoint_routing/src/scheduler/tests.rs
@@ -7,6 +7,7 @@
 use super::{Admission, Decision, MAX_LATE_WAIT, Rejection, Scheduler, Ticket};
 use crate::AttemptId;
 use crate::link::Link;
+use crate::request_link::RequestLink;
 
 const NOW: Duration = Duration::from_secs(100);
 
@@ -255,7 +256,7 @@
 /// A scheduler of an idle target on a link of 10 Mbit/s, and a service time of 100 ms.
 fn narrow_scheduler() -> Scheduler {
     let mut scheduler = scheduler(4);
-    scheduler.set_request_link(Link::for_requests(Some(10.0)));
+    scheduler.set_request_link(RequestLink::new(Some(10.0)));
     scheduler.arrive(NOW, ticket(1, Class::Short, 9_000));
     scheduler.release(NOW, Class::Short, &route(), Some(Duration::from_millis(100)));
     scheduler
@@ -287,7 +288,7 @@
     };
     assert!(start > later + Duration::from_millis(300));
     for _ in 0..11 {
-        scheduler.body_ended(60_000);
+        scheduler.request_link_mut().body_ended(60_000);
     }
     let much_later = NOW + Duration::from_secs(3);
     let (admission, _) = scheduler.arrive(much_later, upload(21, 5_000));
--- a/crates/medlarpoint_routing/tests/narrow_link.rs
+++ b/crates/medlarpoint_routing/tests/narrow_link.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use medlarpoint_model::{Class, Name, Policy};
-use medlarpoint_routing::{Admission, AttemptId, Decision, Link, Rejection, Scheduler, Ticket};
+use medlarpoint_routing::{
+    Admission, AttemptId, Decision, Rejection, RequestLink, Scheduler, Ticket,
+};
 
 const TARGETS: usize = 5;
 const SLOTS: u32 = 12;
@@ -79,7 +81,7 @@
         let policy = Policy { ramp_ms: 0, ..Policy::default() };
         let target = || {
             let mut target = Scheduler::new(SLOTS, policy.clone(), Duration::ZERO);
-            target.set_request_link(Link::for_requests(Some(LINK_MEGABITS)));
+            target.set_request_link(RequestLink::new(Some(LINK_MEGABITS)));
             target
         };
         Self {
@@ -187,7 +189,7 @@
     fn receive(&mut self, target: usize, ticket: Ticket) {
         let attempt = ticket.attempt;
         let arrived = ticket.arrived;
-        self.targets[target].body_ended(ticket.body_bytes);
+        self.targets[target].request_link_mut().body_ended(ticket.body_bytes);
         let ticket = Ticket { body_bytes: 0, may_spill: false, ..ticket };
         let (admission, displaced) = self.targets[target].arrive(self.now, ticket);
         self.apply(target, displaced.into_iter().collect());
