A rejection names the waits for the link beside the slots

Cause: an upload is rejected for the time until the link is free, and the line of its rejection (MP7004) named slots and queue only, so the log did not explain it. What changes: MP7004 has the times until the link is free for requests and for responses.

--- a/crates/medlarpoint_daemon/src/event.rs
+++ b/crates/medlarpoint_daemon/src/event.rs
@@ -178,8 +178,8 @@
     7003 Info AttemptEnded { id: String, attempt: AttemptId, vm: Vm, point: FailurePoint, took_ms: u64 }
         => "call {id} attempt {attempt} at {vm} ended at {point} after {took_ms} ms";
     /// The inbound proxy rejected an attempt and did not hand it over to the target.
-    7004 Info AttemptRefused { id: String, attempt: AttemptId, route: Name, rank: u8, point: FailurePoint, running: u32, queued: u32, slots: u32, left_ms: u64 }
-        => "call {id} attempt {attempt} on {route}, rank {rank}, rejected at {point}: {running} running, {queued} queued, {slots} slots, {left_ms} ms left";
+    7004 Info AttemptRefused { id: String, attempt: AttemptId, route: Name, rank: u8, point: FailurePoint, running: u32, queued: u32, slots: u32, receive_ms: u32, link_ms: u32, left_ms: u64 }
+        => "call {id} attempt {attempt} on {route}, rank {rank}, rejected at {point}: {running} running, {queued} queued, {slots} slots, link free for requests in {receive_ms} ms, for responses in {link_ms} ms, {left_ms} ms left";
     /// An attempt was handed over to the target, but no usable response was received.
     7005 Warn AttemptLost { id: String, attempt: AttemptId, route: Name, point: FailurePoint, took_ms: u64 }
         => "call {id} attempt {attempt} on {route} lost at {point} after {took_ms} ms";
--- a/crates/medlarpoint_daemon/src/inbound.rs
+++ b/crates/medlarpoint_daemon/src/inbound.rs
@@ -400,6 +400,8 @@
         running: load.running,
         queued: load.queued,
         slots: load.slots,
+        receive_ms: load.receive_ms,
+        link_ms: load.link_ms,
         left_ms: info.deadline.saturating_sub(shared.now()).as_millis() as u64,
     });
 }
