--- a/crates/medlarpoint_daemon/src/body_limit.rs
+++ b/crates/medlarpoint_daemon/src/body_limit.rs
@@ -30,24 +30,15 @@
     /// Number of bytes that may still arrive.
     remaining_bytes: u64,
     max_pause: Duration,
-    timer: Pin<Box<Sleep>>,
-    /// Set once the body is waited for: until then, the caller is not asked to send.
-    timer_started: bool,
+    /// Runs from the first wait for the body: until then, the caller is not asked to send.
+    timer: Option<Pin<Box<Sleep>>>,
     /// Set once the body has ended.
     timer_stopped: bool,
 }
 
 impl Limiter {
     pub(crate) fn new(max_bytes: u64, max_pause: Duration) -> Self {
-        let timer = Box::pin(tokio::time::sleep(max_pause));
-        Self {
-            max_bytes,
-            remaining_bytes: max_bytes,
-            max_pause,
-            timer,
-            timer_started: false,
-            timer_stopped: false,
-        }
+        Self { max_bytes, remaining_bytes: max_bytes, max_pause, timer: None, timer_stopped: false }
     }
 
     /// Subtracts received bytes from those that may still arrive and restarts the timer.
@@ -56,7 +47,9 @@
             return Err(Exceeded::BodySize { limit: self.max_bytes });
         };
         self.remaining_bytes = remaining;
-        self.timer.as_mut().reset(Instant::now() + self.max_pause);
+        if let Some(timer) = &mut self.timer {
+            timer.as_mut().reset(Instant::now() + self.max_pause);
+        }
         Ok(())
     }
 
@@ -70,10 +63,8 @@
         if self.timer_stopped {
             return Poll::Pending;
         }
-        if !self.timer_started {
-            self.timer_started = true;
-            self.timer.as_mut().reset(Instant::now() + self.max_pause);
-        }
-        self.timer.as_mut().poll(cx).map(|()| Exceeded::BodyPause { pause: self.max_pause })
+        let max_pause = self.max_pause;
+        let timer = self.timer.get_or_insert_with(|| Box::pin(tokio::time::sleep(max_pause)));
+        timer.as_mut().poll(cx).map(|()| Exceeded::BodyPause { pause: self.max_pause })
     }
 }
--- a/crates/medlarpoint_daemon/src/handover.rs
+++ b/crates/medlarpoint_daemon/src/handover.rs
@@ -182,7 +182,6 @@
 fn strip_proxy_headers(headers: &mut HeaderMap) {
     header::strip_hop_by_hop(headers);
     for name in [
-        http::header::EXPECT,
         header::FLEET,
         header::ATTEMPT,
         header::BOOT,
--- a/crates/medlarpoint_daemon/src/header.rs
+++ b/crates/medlarpoint_daemon/src/header.rs
@@ -64,9 +64,11 @@
 /// Configuration version that the call was routed by.
 pub(crate) const VERSION: HeaderName = HeaderName::from_static("medlarpoint-version");
 
-/// Hop-by-hop headers, which are never forwarded (RFC 9110, section 7.6.1).
-const HOP_BY_HOP: [HeaderName; 8] = [
+/// Hop-by-hop headers, which are never forwarded (RFC 9110, section 7.6.1), and `Expect`,
+/// since each proxy asks for the body itself.
+const HOP_BY_HOP: [HeaderName; 9] = [
     http::header::CONNECTION,
+    http::header::EXPECT,
     HeaderName::from_static("keep-alive"),
     http::header::PROXY_AUTHENTICATE,
     http::header::PROXY_AUTHORIZATION,
--- a/crates/medlarpoint_daemon/src/held_body.rs
+++ b/crates/medlarpoint_daemon/src/held_body.rs
@@ -79,30 +79,30 @@
             permission: None,
         }
     }
+}
 
-    /// Returns a reader that starts once the receiver of `request` asks for the body,
-    /// and the permission, which is withdrawn when it is dropped.
-    pub(crate) fn announce<T>(
-        self: &Arc<Self>,
-        request: Request<T>,
-    ) -> (Request<Body>, Permission) {
-        let (sender, receiver) = oneshot::channel();
-        let permission = Permission { sender: Arc::new(Mutex::new(Some(sender))) };
-        let reader = Reader { permission: Some(receiver), ..self.reader() };
-        let mut request = request.map(|_| Body::Held(reader));
-        let expect = HeaderValue::from_static("100-continue");
-        request.headers_mut().insert(http::header::EXPECT, expect);
-        let sender = Arc::clone(&permission.sender);
-        hyper::ext::on_informational(&mut request, move |response| {
-            if response.status() == StatusCode::CONTINUE
-                && let Some(sender) = lock(&sender).take()
-            {
-                // The reader is gone if the attempt was cancelled.
-                let _ = sender.send(());
-            }
-        });
-        (request, permission)
-    }
+/// Makes the held body of a request wait until the receiver asks for it. Returns the
+/// permission to send it, which is withdrawn when it is dropped; `None` if the body is
+/// not held.
+pub(crate) fn announce(request: &mut Request<Body>) -> Option<Permission> {
+    let Body::Held(reader) = request.body_mut() else {
+        return None;
+    };
+    let (sender, receiver) = oneshot::channel();
+    reader.permission = Some(receiver);
+    let permission = Permission { sender: Arc::new(Mutex::new(Some(sender))) };
+    let expect = HeaderValue::from_static("100-continue");
+    request.headers_mut().insert(http::header::EXPECT, expect);
+    let sender = Arc::clone(&permission.sender);
+    hyper::ext::on_informational(request, move |response| {
+        if response.status() == StatusCode::CONTINUE
+            && let Some(sender) = lock(&sender).take()
+        {
+            // The reader is gone if the attempt was cancelled.
+            let _ = sender.send(());
+        }
+    });
+    Some(permission)
 }
 
 impl Source {
--- a/crates/medlarpoint_daemon/src/held_body/tests.rs
+++ b/crates/medlarpoint_daemon/src/held_body/tests.rs
@@ -13,16 +13,22 @@
 use tokio::io::AsyncWriteExt;
 use tokio::time::Instant;
 
-use super::{HeldBody, MAX_REPLAY_BYTES, Reader};
+use super::{HeldBody, MAX_REPLAY_BYTES, Permission, Reader, announce};
 use crate::body::{Body, BodyError};
 use crate::body_limit::Limiter;
 
 type Chunk = Poll<Option<Result<Bytes, BodyError>>>;
 
-fn held(bytes: usize) -> std::sync::Arc<HeldBody> {
+fn held(bytes: usize) -> Arc<HeldBody> {
     HeldBody::new(Body::full(vec![7; bytes].into()))
 }
 
+fn announced(body: &Arc<HeldBody>) -> (Request<Body>, Permission) {
+    let mut request = Request::new(Body::Held(body.reader()));
+    let permission = announce(&mut request).expect("the body is held");
+    (request, permission)
+}
+
 fn poll(reader: &mut Reader) -> Chunk {
     reader.poll_chunk(&mut Context::from_waker(Waker::noop()))
 }
@@ -45,7 +51,7 @@
 #[test]
 fn an_announced_body_is_not_read_before_it_is_asked_for() {
     let body = held(60_000);
-    let (mut request, permission) = body.announce(Request::new(Body::empty()));
+    let (mut request, permission) = announced(&body);
     assert_eq!(request.headers()[header::EXPECT], "100-continue");
     assert!(poll(reader(&mut request)).is_pending());
     let sender = super::lock(&permission.sender).take().expect("not given yet");
@@ -56,7 +62,7 @@
 #[test]
 fn a_rejected_attempt_leaves_the_body_to_the_next_one() {
     let body = held(60_000);
-    let (mut request, permission) = body.announce(Request::new(Body::empty()));
+    let (mut request, permission) = announced(&body);
     drop(permission);
     assert!(matches!(poll(reader(&mut request)), Poll::Ready(Some(Err(BodyError::Unwanted)))));
     assert!(body.is_replayable());
--- a/crates/medlarpoint_daemon/src/inbound.rs
+++ b/crates/medlarpoint_daemon/src/inbound.rs
@@ -168,13 +168,12 @@
 fn deliver_receive(shared: &Shared, attempt: AttemptId, start: Duration) {
     let (sender, next) = oneshot::channel();
     let mut waiters = lock(&shared.waiters);
-    let Some(waiter) = waiters.insert(attempt, sender) else {
-        waiters.remove(&attempt);
+    let Some(waiter) = waiters.remove(&attempt) else {
         return;
     };
-    if waiter.send(Decision::Receive { start, next }).is_err() {
-        // The waiting task has ended and cancels the attempt.
-        waiters.remove(&attempt);
+    // If the waiting task has ended, it cancels the attempt.
+    if waiter.send(Decision::Receive { start, next }).is_ok() {
+        waiters.insert(attempt, sender);
     }
 }
 
--- a/crates/medlarpoint_daemon/src/keep_alive.rs
+++ b/crates/medlarpoint_daemon/src/keep_alive.rs
@@ -4,43 +4,35 @@
 //! overload, thousands of idle connections would take the memory and the descriptors
 //! that calls need.
 
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use crate::lifecycle::CountGuard;
 
 /// The connections of callers.
 #[derive(Debug)]
 pub(crate) struct Connections {
-    open: AtomicUsize,
+    open: AtomicU64,
     /// Number of idle connections above which a connection is closed after its
     /// response.
     max_idle: usize,
 }
 
-/// Counts a connection as open until it is dropped.
-#[derive(Debug)]
-pub(crate) struct OpenConnection<'a>(&'a AtomicUsize);
-
-impl Drop for OpenConnection<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 impl Connections {
     /// Creates the state without connections.
     pub(crate) fn new(max_idle: usize) -> Self {
-        Self { open: AtomicUsize::new(0), max_idle }
+        Self { open: AtomicU64::new(0), max_idle }
     }
 
     /// Counts a connection as open until the guard is dropped.
-    pub(crate) fn track(&self) -> OpenConnection<'_> {
-        self.open.fetch_add(1, Ordering::AcqRel);
-        OpenConnection(&self.open)
+    pub(crate) fn track(&self) -> CountGuard<'_> {
+        CountGuard::new(&self.open)
     }
 
     /// Returns whether to keep a connection whose call has just ended, while
     /// `pending_calls` other calls have no response yet.
     pub(crate) fn keeps_alive(&self, pending_calls: usize) -> bool {
-        let idle = self.open.load(Ordering::Acquire).saturating_sub(pending_calls);
+        let open = self.open.load(Ordering::Acquire) as usize;
+        let idle = open.saturating_sub(pending_calls);
         idle <= self.max_idle
     }
 }
--- a/crates/medlarpoint_daemon/src/lifecycle.rs
+++ b/crates/medlarpoint_daemon/src/lifecycle.rs
@@ -39,7 +39,7 @@
 pub(crate) struct CountGuard<'a>(&'a AtomicU64);
 
 impl<'a> CountGuard<'a> {
-    fn new(count: &'a AtomicU64) -> Self {
+    pub(crate) fn new(count: &'a AtomicU64) -> Self {
         count.fetch_add(1, Ordering::AcqRel);
         Self(count)
     }
--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -145,8 +145,6 @@
         return reject(RoutingError::BadBody);
     };
     header::strip_hop_by_hop(&mut parts.headers);
-    // This proxy asks the caller for the body itself.
-    parts.headers.remove(http::header::EXPECT);
     let origin = shared.reloadable.load().service.clone();
     call::set_origin(&mut parts.headers, origin.as_ref().map(Name::as_str));
     header::set(&mut parts.headers, header::DEPTH, &(depth + 1).to_string());
--- a/crates/medlarpoint_daemon/src/outbound_call.rs
+++ b/crates/medlarpoint_daemon/src/outbound_call.rs
@@ -21,7 +21,7 @@
 use crate::attempt_response::{classify, counts_against_target, response_info};
 use crate::body::{Body, Buffered, EndAction, MAX_BUFFERED_BYTES, buffer};
 use crate::event::Event;
-use crate::held_body::HeldBody;
+use crate::held_body::{HeldBody, announce};
 use crate::outbound_response::{call_id, error_response};
 use crate::pool::{ExchangeError, Pool};
 use crate::state::{ServiceState, Shared, lock};
@@ -241,14 +241,7 @@
         let (shared, sender) = (Arc::clone(&self.shared), self.sender.clone());
         let address = destination.address;
         let is_local = destination.vm == shared.settings.options.vm;
-        let permission = match &self.payload {
-            Payload::Held(held) if !is_local => {
-                let permission;
-                (request, permission) = held.announce(request);
-                Some(permission)
-            }
-            _ => None,
-        };
+        let permission = if is_local { None } else { announce(&mut request) };
         let task = tokio::spawn(async move {
             let result = if is_local {
                 Ok(inbound::serve_attempt(shared, request, 0).await)
--- a/crates/medlarpoint_daemon/src/shaped_body.rs
+++ b/crates/medlarpoint_daemon/src/shaped_body.rs
@@ -7,7 +7,6 @@
 
 use bytes::Bytes;
 use medlarpoint_model::Name;
-use medlarpoint_routing::LARGE_MESSAGE_BYTES;
 use tokio::time::Sleep;
 
 use crate::body::Body;
@@ -31,13 +30,13 @@
 /// body to send: shaped if it is large and the link is narrow.
 pub(crate) fn reserve_link(shared: &Arc<Shared>, route: &Name, response: Bytes) -> Body {
     let now = shared.now();
-    let start = {
+    let (start, is_shaped) = {
         let mut intake = lock(&shared.intake);
         let link = intake.scheduler_mut().link_mut();
         link.observe(route, response.len());
-        link.reserve(now, response.len())
+        (link.reserve(now, response.len()), link.shapes(response.len()))
     };
-    if response.len() < LARGE_MESSAGE_BYTES || !shared.settings.has_narrow_link() {
+    if !is_shaped {
         return Body::full(response);
     }
     let timer = Box::pin(tokio::time::sleep_until(shared.clock.instant(start)));
--- a/crates/medlarpoint_routing/src/scheduler.rs
+++ b/crates/medlarpoint_routing/src/scheduler.rs
@@ -304,8 +304,8 @@
             };
             // Collected before any removal, because removals change the queue.
             let late: Vec<AttemptId> = self.class_state(class).queue.find(late);
-            let waited_in_vain =
-                self.class_state(class).queue.any(|t| forecast.has_waited_too_long(t));
+            let waited_in_vain = !late.is_empty()
+                && self.class_state(class).queue.any(|t| forecast.has_waited_too_long(t));
             self.class_state_mut(class).late_starved |= waited_in_vain;
             decisions.extend(late.into_iter().filter_map(|id| self.reject_late(now, class, id)));
         }
