Log why a daemon reads the store or delays a pull, and the era of the store

MP2011 names the age of the last known read and the daemon's rank, MP2012 the wait of a pull, MP4005 a store that was restored from a copy; gauges for the age and the era. No decision is changed.

--- a/crates/medlarpoint_config/src/pull.rs
+++ b/crates/medlarpoint_config/src/pull.rs
@@ -82,7 +82,8 @@
     }
 
     /// Records that a peer has `tip` in force. `rank` is the rank of this
-    /// daemon among those that may pull over `distance`.
+    /// daemon among those that may pull over `distance`. Returns how long a pull
+    /// waits if it was delayed in favour of nearer peers.
     pub fn add_candidate(
         &mut self,
         now: Duration,
@@ -90,27 +91,24 @@
         tip: Tip,
         distance: Distance,
         rank: Rank,
-    ) {
+    ) -> Option<Duration> {
         if tip.version <= self.local.version {
-            return;
+            return None;
         }
-        let not_before = now + delay(distance, rank);
-        let candidate = Candidate { tip, distance, not_before };
+        let wait = delay(distance, rank);
+        let candidate = Candidate { tip, distance, not_before: now + wait };
         if let Some(known) = self.candidates.get_mut(peer) {
             known.tip = known.tip.max(tip);
-            return;
+            return None;
         }
-        if self.candidates.len() < MAX_CANDIDATES {
-            self.candidates.insert(peer.clone(), candidate);
-            return;
+        if self.candidates.len() >= MAX_CANDIDATES {
+            let farthest = self.candidates.iter().max_by_key(|(_, c)| c.distance);
+            let farther = farthest.filter(|(_, c)| c.distance > distance);
+            let key = farther.map(|(key, _)| key.clone())?;
+            self.candidates.swap_remove(&key);
         }
-        let farthest = self.candidates.iter().max_by_key(|(_, c)| c.distance);
-        let Some(key) = farthest.filter(|(_, c)| c.distance > distance).map(|(k, _)| k.clone())
-        else {
-            return;
-        };
-        self.candidates.swap_remove(&key);
         self.candidates.insert(peer.clone(), candidate);
+        (!wait.is_zero()).then_some(wait)
     }
 
     /// Returns the peer to pull from now, if any. The caller must report the
--- a/crates/medlarpoint_daemon/src/control.rs
+++ b/crates/medlarpoint_daemon/src/control.rs
@@ -87,6 +87,8 @@
                 let mut control = lock(&self.shared.control);
                 let now = self.shared.now();
                 let actions = control.detector.tick(now);
+                let read_age = control.freshness.age(now).as_secs_f64();
+                metrics::gauge!("medlarpoint_store_read_age").set(read_age);
                 self.handle_member_events(&mut control);
                 self.send_reports(&mut control);
                 self.summarize(&mut control);
@@ -359,7 +361,11 @@
             Distance::Remote => Self::role_rank(control, Role::Gateway),
         };
         let now = self.shared.now();
-        control.pulls.add_candidate(now, from, gossip.tip, distance, rank);
+        let wait = control.pulls.add_candidate(now, from, gossip.tip, distance, rank);
+        if let Some(wait) = wait {
+            let (version, wait_ms) = (gossip.tip.version, wait.as_millis() as u64);
+            self.shared.emit(&Event::PullWaits { version, vm: from.clone(), wait_ms });
+        }
         self.shared.pull_wakeup.notify_one();
     }
 
--- a/crates/medlarpoint_daemon/src/daemon.rs
+++ b/crates/medlarpoint_daemon/src/daemon.rs
@@ -14,6 +14,7 @@
 use medlarpoint_model::{Policy, Version};
 use medlarpoint_platform::store::Client;
 use medlarpoint_routing::Intake;
+use medlarpoint_store::Era;
 use medlarpoint_wire::{BootId, Record, Status};
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::{TcpListener, UdpSocket};
@@ -347,6 +348,7 @@
         last_rejection: None,
         not_ready_reason: Some("catching up".to_owned()),
         store_down: None,
+        store_era: Era::default(),
     };
     Shared {
         store: Client::new(&settings.endpoints, settings.store_timeout),
--- a/crates/medlarpoint_daemon/src/event.rs
+++ b/crates/medlarpoint_daemon/src/event.rs
@@ -6,6 +6,7 @@
 use medlarpoint_config::Rejection;
 use medlarpoint_model::{DataCentre, Name, Version, Vm};
 use medlarpoint_routing::{AttemptId, FailurePoint, Outcome};
+use medlarpoint_store::Era;
 use medlarpoint_wire::Status;
 
 /// Severity of an event.
@@ -125,6 +126,10 @@
 
     /// The configuration in the store cannot be read; the version in force stays.
     2010 Error Unreadable { reason: String } => "the configuration in the store cannot be read: {reason}";
+    /// This daemon is not a reader and reads the store itself, because it has not learned of a recent enough read of another daemon.
+    2011 Info ReadingStore { version: Version, age_ms: u64, rank: usize } => "reading the store with {version} in force: the last read known is {age_ms} ms old, rank {rank}";
+    /// A member of another data centre has a newer version. This daemon pulls it after the wait, unless a nearer member has it before.
+    2012 Info PullWaits { version: Version, vm: Vm, wait_ms: u64 } => "{version} announced by {vm}, pulled in {wait_ms} ms at the latest";
 
     /// The status of a member changed.
     3001 Info Member { vm: Vm, status: Status } => "{vm} is {status}";
@@ -146,6 +151,9 @@
     /// The store entry of another daemon cannot be read and is ignored.
     4004 Warn BadEntry { key: String, reason: String } => "the store entry {key} cannot be read: {reason}";
 
+    /// The store was restored from a copy, so that its revisions and leases are no longer those that it gave out before. Versions in force stay; watches and leases start again.
+    4005 Warn StoreEraChanged { from: Era, to: Era } => "the store was restored from a copy: {from} became {to}";
+
     /// A target registered with its daemon.
     5001 Info TargetAnnounced { service: Name, slots: u32 } => "target of {service} with {slots} slots";
     /// The target accepts no new calls.
--- a/crates/medlarpoint_daemon/src/state.rs
+++ b/crates/medlarpoint_daemon/src/state.rs
@@ -18,7 +18,7 @@
 use medlarpoint_platform::bounds::Bounds;
 use medlarpoint_platform::store::Client;
 use medlarpoint_routing::{Budget, HedgeDelays, Intake, Picker, RouteTable, WaitEstimator};
-use medlarpoint_store::LeaseId;
+use medlarpoint_store::{Era, LeaseId};
 use medlarpoint_wire::{Readiness, Record, Tip};
 use tokio::sync::Notify;
 
@@ -80,6 +80,8 @@
     /// Start of the current outage of the store, in wall-clock milliseconds, and the
     /// error of the call that failed.
     pub(crate) store_down: Option<(u64, String)>,
+    /// Era of the store, as logged last.
+    pub(crate) store_era: Era,
 }
 
 /// State of this VM's target.
--- a/crates/medlarpoint_daemon/src/store_reader.rs
+++ b/crates/medlarpoint_daemon/src/store_reader.rs
@@ -14,20 +14,17 @@
 use medlarpoint_membership::{fallback, readers};
 use medlarpoint_model::Snapshot;
 use medlarpoint_platform::operator;
-use medlarpoint_store::{Consistency, Error, Item, Key, Revision, Store};
+use medlarpoint_store::{Consistency, Era, Error, Item, Key, Revision, Store};
 
 use crate::clock::{jitter, wall_ms};
 use crate::control::{Driver, ROLE_HOLDERS};
 use crate::event::Event;
 use crate::settings::Source;
-use crate::state::{Shared, lock};
+use crate::state::{Control, Shared, lock};
 
 /// Limit on the duration of a watch. A watch that ends without a change shows that the
 /// store is still reachable.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(700);
-/// Age of the last store read after which a daemon reads the store itself: the duration
-/// of a watch, the time to broadcast its end, and a margin for jitter.
-const MAX_READ_AGE: Duration = Duration::from_millis(1_250);
 /// Limit on the wait after a failed store call.
 const MAX_BACKOFF: Duration = Duration::from_millis(1_500);
 /// Limit on the store reads of all daemons that are not readers, per second.
@@ -103,8 +100,14 @@
         return Task::Watch;
     }
     let age = control.freshness.age(shared.now());
-    let max_age = MAX_READ_AGE + fallback::delay(Driver::gateway_rank(&control));
-    if age >= max_age { Task::Read } else { Task::Wait(max_age.saturating_sub(age)) }
+    let rank = Driver::gateway_rank(&control);
+    let max_age = fallback::max_read_age(rank);
+    if age < max_age {
+        return Task::Wait(max_age.saturating_sub(age));
+    }
+    let (version, age_ms) = (control.replica.current().version, age.as_millis() as u64);
+    shared.emit(&Event::ReadingStore { version, age_ms, rank });
+    Task::Read
 }
 
 /// Follows the changes of the configuration's key.
@@ -185,7 +188,7 @@
 fn fallback_pause(shared: &Shared) -> Duration {
     let members = lock(&shared.control).detector.table().live().count();
     let period = Duration::from_secs_f64(members as f64 / FALLBACK_READS_PER_S);
-    if period <= MAX_READ_AGE { Duration::ZERO } else { jitter(period) }
+    if period <= fallback::max_read_age(0) { Duration::ZERO } else { jitter(period) }
 }
 
 /// Handles the result of applying a value: restores a store that is behind and logs
@@ -303,6 +306,19 @@
     response
 }
 
+/// Logs the first era of the store that this daemon learns of, and each change.
+fn record_era(shared: &Shared, control: &mut Control) {
+    let (from, to) = (control.store_era, shared.store.era());
+    if from == to {
+        return;
+    }
+    control.store_era = to;
+    metrics::gauge!("medlarpoint_store_era").set(to.0 as f64);
+    if from > Era::default() {
+        shared.emit(&Event::StoreEraChanged { from, to });
+    }
+}
+
 /// Records whether the store is available, judging by the result of a call to it.
 pub(crate) fn record_store_result(shared: &Shared, error: Option<&Error>) {
     let down = match error {
@@ -310,6 +326,7 @@
         Some(error) => Some(error.to_string()),
     };
     let mut control = lock(&shared.control);
+    record_era(shared, &mut control);
     match (control.store_down.is_some(), down) {
         (false, Some(reason)) => {
             shared.emit(&Event::StoreDown { reason: reason.clone() });
--- a/crates/medlarpoint_membership/src/fallback.rs
+++ b/crates/medlarpoint_membership/src/fallback.rs
@@ -8,6 +8,9 @@
 
 use std::time::Duration;
 
+/// Age of the last store read after which the first daemon reads the store: the
+/// duration of a watch, the time to broadcast its end, and a margin for jitter.
+const MAX_READ_AGE: Duration = Duration::from_millis(1_250);
 /// Time between the starts of two daemons: long enough for a read over a fast
 /// link and its broadcast.
 const STAGGER: Duration = Duration::from_millis(250);
@@ -15,9 +18,15 @@
 /// at once: by then the store is likely unreachable for the first ones.
 const BROADCASTERS: usize = 4;
 
+/// Returns the age of the last known read after which a daemon of this rank reads
+/// the store.
+pub fn max_read_age(rank: usize) -> Duration {
+    MAX_READ_AGE + delay(rank)
+}
+
 /// Returns how long a daemon of this rank waits before it reads the store, once
 /// the last known read has become too old.
-pub fn delay(rank: usize) -> Duration {
+fn delay(rank: usize) -> Duration {
     STAGGER * rank.min(BROADCASTERS) as u32
 }
 
--- a/crates/medlarpoint_store/src/lib.rs
+++ b/crates/medlarpoint_store/src/lib.rs
@@ -11,4 +11,6 @@
 pub use error::Error;
 pub use key::{InvalidKey, Key};
 pub use memory::{MemoryStore, Rejection};
-pub use store::{Change, Changes, Consistency, Expected, Item, LeaseId, Listing, Revision, Store};
+pub use store::{
+    Change, Changes, Consistency, Era, Expected, Item, LeaseId, Listing, Revision, Store,
+};
--- a/crates/medlarpoint_store/src/store.rs
+++ b/crates/medlarpoint_store/src/store.rs
@@ -22,6 +22,17 @@
     }
 }
 
+/// Number that rises each time the store is restored from a copy. Revisions and
+/// leases are comparable only within an era.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Era(pub u64);
+
+impl fmt::Display for Era {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "era {}", self.0)
+    }
+}
+
 /// Identifier of a lease. On the wire, 0 stands for no lease.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
