--- a/crates/medlarpoint_config/src/pull/tests.rs
+++ b/crates/medlarpoint_config/src/pull/tests.rs
@@ -36,3 +36,15 @@
     scheduler.add_candidate(NOW, &peer, tip(8), Distance::Near, Rank::First);
     assert_eq!(scheduler.next_peer(NOW), Some(peer));
 }
+
+/// Guards against CONFIG of issue 25: a pull from a peer that lost power kept all other
+/// peers waiting until it timed out.
+#[test]
+fn a_peer_that_does_not_respond_delays_the_pull_from_another_only_briefly() {
+    let (silent, other): (Vm, Vm) = ("vm-1".parse().unwrap(), "vm-2".parse().unwrap());
+    let mut scheduler = Scheduler::default();
+    scheduler.add_candidate(NOW, &silent, tip(7), Distance::Near, Rank::First);
+    scheduler.add_candidate(NOW, &other, tip(7), Distance::Near, Rank::First);
+    assert_eq!(scheduler.next_peer(NOW), Some(silent));
+    assert_eq!(scheduler.next_peer(NOW + Duration::from_millis(500)), Some(other));
+}
--- a/crates/medlarpoint_membership/src/fallback/tests.rs
+++ b/crates/medlarpoint_membership/src/fallback/tests.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{BROADCASTERS, broadcasts, delay};
+use super::{BROADCASTERS, broadcasts, delay, max_read_age};
 
 /// Time that a read and its broadcast take.
 const READ_TIME: Duration = Duration::from_millis(400);
@@ -42,3 +42,15 @@
     // time limit for a change.
     assert!(refreshed_at <= Duration::from_millis(1_400), "{refreshed_at:?}");
 }
+
+/// Guards against CONFIG of issue 25: without readers, daemons read the store too late
+/// for the time within which an acknowledged version has to be in force.
+#[test]
+fn without_readers_every_daemon_reads_in_time_for_a_change() {
+    let bound = Duration::from_secs(2);
+    // A change can be acknowledged right after the last read of the readers.
+    for rank in 0..1_100 {
+        let in_force_at = max_read_age(rank) + READ_TIME;
+        assert!(in_force_at <= bound, "rank {rank}: {in_force_at:?}");
+    }
+}
