Count a store read as fresh only once the version that it found is in force here

Cause: when both readers lost power, a daemon of the other region read v35 and broadcast its read. The daemons of this region took that as proof that their own v33 was the newest, so they did not read the store, and waited 1.5 s for gateways that were dead before they pulled v35. Evidence: MP2001 of the other region at 27.97 s, of the late daemons at 29.51 s, no store read of theirs between. A read now counts once its version is in force here; a daemon whose version is older than the first fallback age pulls from any peer at once.

--- a/crates/medlarpoint_config/src/pull.rs
+++ b/crates/medlarpoint_config/src/pull.rs
@@ -111,6 +111,13 @@
         (!wait.is_zero()).then_some(wait)
     }
 
+    /// Ends the waits for nearer peers: pulls may start at `now` from every candidate.
+    pub fn expedite(&mut self, now: Duration) {
+        for candidate in self.candidates.values_mut() {
+            candidate.not_before = candidate.not_before.min(now);
+        }
+    }
+
     /// Returns the peer to pull from now, if any. The caller must report the
     /// end of the pull with [`Scheduler::on_finished`].
     pub fn next_peer(&mut self, now: Duration) -> Option<Vm> {
--- a/crates/medlarpoint_config/src/pull/tests.rs
+++ b/crates/medlarpoint_config/src/pull/tests.rs
@@ -37,6 +37,18 @@
     assert_eq!(scheduler.next_peer(NOW), Some(peer));
 }
 
+/// Guards against CONFIG of issue 25: daemons that are not gateways waited for gateways
+/// that had lost power, however old their version was.
+#[test]
+fn a_daemon_whose_version_may_be_too_old_does_not_wait_for_nearer_peers() {
+    let remote: Vm = "vm-1".parse().unwrap();
+    let mut scheduler = Scheduler::default();
+    scheduler.add_candidate(NOW, &remote, tip(7), Distance::Remote, Rank::Rest);
+    assert_eq!(scheduler.next_peer(NOW), None);
+    scheduler.expedite(NOW);
+    assert_eq!(scheduler.next_peer(NOW), Some(remote));
+}
+
 /// Guards against CONFIG of issue 25: a pull from a peer that lost power kept all other
 /// peers waiting until it timed out.
 #[test]
--- a/crates/medlarpoint_daemon/src/control.rs
+++ b/crates/medlarpoint_daemon/src/control.rs
@@ -89,6 +89,9 @@
                 let actions = control.detector.tick(now);
                 let read_age = control.freshness.age(now).as_secs_f64();
                 metrics::gauge!("medlarpoint_store_read_age").set(read_age);
+                if Self::may_be_outdated(&control, now) {
+                    control.pulls.expedite(now);
+                }
                 self.handle_member_events(&mut control);
                 self.send_reports(&mut control);
                 self.summarize(&mut control);
@@ -186,6 +189,7 @@
         let tip = control.replica.tip();
         control.detector.set_tip(tip);
         control.pulls.set_tip(tip);
+        control.freshness.set_version(version);
         self.shared.emit(&Event::Applied { version, from: from.to_owned() });
         metrics::counter!("medlarpoint_versions_applied_total").increment(1);
         metrics::gauge!("medlarpoint_version").set(version.0 as f64);
@@ -257,7 +261,9 @@
             return;
         }
         let (origin, boot) = (own_record.vm.clone(), own_record.boot);
-        self.forward_store_read(&control, &StoreRead { origin, boot, seq, age: Duration::ZERO });
+        let version = control.replica.current().version;
+        let read = StoreRead { origin, boot, seq, age: Duration::ZERO, version };
+        self.forward_store_read(&control, &read);
     }
 
     /// Forwards a store read to this daemon's children in the broadcast tree.
@@ -277,11 +283,18 @@
                 seq: read.seq,
                 tip,
                 age_ms: read.age.as_millis() as u64,
+                read_version: Some(read.version),
             };
             self.send(control, to, body);
         }
     }
 
+    /// Returns whether the version in force was not known to be the newest for so long
+    /// that the first daemons read the store themselves.
+    fn may_be_outdated(control: &Control, now: Duration) -> bool {
+        control.freshness.age(now) >= fallback::max_read_age(0)
+    }
+
     /// Returns this daemon's rank as a gateway of its region.
     pub(crate) fn gateway_rank(control: &Control) -> usize {
         let own_record = control.detector.local_record();
@@ -329,9 +342,11 @@
                     self.send(&control, from, Body::Receipt { version: *version });
                     self.summarize(&mut control);
                 }
-                Body::Fresh { origin, boot, seq, tip, age_ms } => {
+                Body::Fresh { origin, boot, seq, tip, age_ms, read_version } => {
                     let age = Duration::from_millis(*age_ms);
-                    let read = StoreRead { origin: origin.clone(), boot: *boot, seq: *seq, age };
+                    let version = read_version.unwrap_or(tip.version);
+                    let origin = origin.clone();
+                    let read = StoreRead { origin, boot: *boot, seq: *seq, age, version };
                     let gossip = Gossip { tip: *tip, ..Gossip::default() };
                     self.add_pull_candidate(&mut control, &frame.from, &gossip);
                     if control.freshness.record_remote(now, &read) {
@@ -355,12 +370,13 @@
             return;
         };
         let distance = self.shared.distance(&member.record);
+        let now = self.shared.now();
         let rank = match distance {
+            _ if Self::may_be_outdated(control, now) => Rank::First,
             Distance::Near => Rank::First,
             Distance::Region => Self::role_rank(control, Role::Relay),
             Distance::Remote => Self::role_rank(control, Role::Gateway),
         };
-        let now = self.shared.now();
         let wait = control.pulls.add_candidate(now, from, gossip.tip, distance, rank);
         if let Some(wait) = wait {
             let (version, wait_ms) = (gossip.tip.version, wait.as_millis() as u64);
--- a/crates/medlarpoint_wire/src/datagram.rs
+++ b/crates/medlarpoint_wire/src/datagram.rs
@@ -81,6 +81,10 @@
         /// Time since the origin read the store, in milliseconds.
         #[serde(rename = "a")]
         age_ms: u64,
+        /// Version in force on the origin after the read; `None` if the origin does not
+        /// state it.
+        #[serde(rename = "v", default)]
+        read_version: Option<Version>,
     },
     /// Reports the version that the sender has in force to a reporter.
     #[serde(rename = "r")]
