Pull from another peer if one does not respond within 300 ms

Cause: daemons pulled from a reader that had lost power right after its announcement; the pull took 1 to 1.5 s to fail, twice for some, and the only pull in flight kept all other candidates waiting. Evidence: MP2009 'no response within 1500 ms' and 'cannot connect within 1000 ms' on the late daemons. The backoff after failed pulls could also reach 2 s, the whole bound; it is 0.4 s now. A pull is a task of its own; after 300 ms without a response the next peer is tried, and a late response still counts.

--- a/crates/medlarpoint_config/src/pull.rs
+++ b/crates/medlarpoint_config/src/pull.rs
@@ -6,12 +6,13 @@
 use medlarpoint_model::Vm;
 use medlarpoint_wire::Tip;
 
-/// Time limit of a pull; after that another peer is tried.
-const PULL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time without a response after which another peer is tried. The response still counts
+/// if it arrives later.
+const PULL_PATIENCE: Duration = Duration::from_millis(300);
 /// Delay after the first failed pull; doubled with each further failure.
 const BASE_BACKOFF: Duration = Duration::from_millis(50);
 /// Longest delay after failed pulls.
-const MAX_BACKOFF: Duration = Duration::from_secs(2);
+const MAX_BACKOFF: Duration = Duration::from_millis(400);
 /// Delay of the second-ranked daemon of a data centre or region.
 const SECOND_RANK_DELAY: Duration = Duration::from_millis(150);
 /// Delay of lower-ranked daemons before they pull from another data centre of
@@ -59,11 +60,12 @@
 #[derive(Clone, Debug)]
 struct InFlight {
     peer: Vm,
+    /// Time at which another peer is tried.
     deadline: Duration,
 }
 
-/// Schedules pulls: at most one is in flight, and only while a peer is known to
-/// have a newer version.
+/// Schedules pulls: one at a time, unless a peer does not respond, and only while a peer
+/// is known to have a newer version.
 #[derive(Clone, Debug, Default)]
 pub struct Scheduler {
     local: Tip,
@@ -134,16 +136,18 @@
         let ready = self.candidates.iter().filter(|(_, c)| c.not_before <= now);
         let (peer, _) = ready.min_by_key(|(_, c)| (c.distance, c.not_before))?;
         let peer = peer.clone();
-        self.in_flight = Some(InFlight { peer: peer.clone(), deadline: now + PULL_TIMEOUT });
+        self.in_flight = Some(InFlight { peer: peer.clone(), deadline: now + PULL_PATIENCE });
         Some(peer)
     }
 
     /// Records the end of a pull. A pull that left this daemon behind the version
-    /// announced by the peer counts as failed.
+    /// announced by the peer counts as failed. The end of a pull that took longer than
+    /// [`PULL_PATIENCE`] is ignored: it has counted as failed already.
     pub fn on_finished(&mut self, now: Duration, peer: &Vm, success: bool) {
-        if self.in_flight.as_ref().is_some_and(|in_flight| in_flight.peer == *peer) {
-            self.in_flight = None;
+        if self.in_flight.as_ref().is_none_or(|in_flight| in_flight.peer != *peer) {
+            return;
         }
+        self.in_flight = None;
         let progressed =
             self.candidates.get(peer).is_none_or(|c| c.tip.version <= self.local.version);
         if success && progressed {
--- a/crates/medlarpoint_daemon/src/control.rs
+++ b/crates/medlarpoint_daemon/src/control.rs
@@ -124,7 +124,9 @@
                 (record, control.pulls.next_wake())
             };
             if let Some(record) = next {
-                self.pull_from(record).await;
+                // A task of its own, so that a peer that does not respond delays no other.
+                let driver = Arc::clone(&self);
+                tokio::spawn(async move { driver.pull_from(record).await });
                 continue;
             }
             let wake = wake.unwrap_or(self.shared.now() + Duration::from_secs(1));
@@ -150,6 +152,7 @@
         };
         let now = self.shared.now();
         lock(&self.shared.control).pulls.on_finished(now, &record.vm, success);
+        self.shared.pull_wakeup.notify_one();
     }
 
     /// Applies a peer's response to a pull. Returns whether it was accepted.
