Send a control request again on a new connection if an idle one breaks or is silent

Cause: a pull used an idle connection to a peer that had restarted since. The reset counted as a failed pull, the candidate was dropped, and the peer became one again only with its next probe, up to a second later. Control requests may be repeated, so one that breaks, or has no response within 200 ms on a connection that was idle, is sent again on a new one. Tests: pool::tests::a_connection_that_breaks_is_replaced_by_a_new_one (fails with the former call: the connection failed before a response arrived) and a_connection_that_has_gone_silent_is_replaced_by_a_new_one (did not end).

--- a/crates/medlarpoint_daemon/src/peer.rs
+++ b/crates/medlarpoint_daemon/src/peer.rs
@@ -19,7 +19,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 
-use crate::body::Body;
 use crate::event::Event;
 use crate::pool::ExchangeError;
 use crate::server::accept;
@@ -109,9 +108,9 @@
         .header(http::header::HOST, to.to_string())
         .header(header::FLEET, shared.fleet().as_str())
         .header(http::header::ACCEPT_ENCODING, compression::LZ4)
-        .body(Body::full(message.into()))?;
+        .body(Bytes::from(message))?;
     let exchange = async {
-        let (response, connection) = shared.pool.exchange(to, request, true).await?;
+        let (response, connection) = shared.pool.exchange_repeatable(to, request).await?;
         let status = response.status();
         let compressed = compression::is_compressed(response.headers());
         let body = Limited::new(response.into_body(), MAX_MESSAGE_BYTES).collect().await;
--- a/crates/medlarpoint_daemon/src/pool.rs
+++ b/crates/medlarpoint_daemon/src/pool.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use http::Request;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -25,6 +26,9 @@
 /// Fraction of the other end's keep-alive timeout for which an idle connection is
 /// reused.
 const KEEP_ALIVE_FRACTION: f64 = 0.8;
+/// Time without the head of a response after which a small request is sent again on a new
+/// connection.
+const STALE_AFTER: Duration = Duration::from_millis(200);
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -117,18 +121,48 @@
         self.exchange_on_new_connection(address, request).await
     }
 
-    /// Sends a request on a new connection.
-    pub(crate) async fn exchange_on_new_connection(
+    /// Sends a small request that may be repeated. If an idle connection breaks, or has not
+    /// responded within [`STALE_AFTER`], the request is sent again on a new one: the
+    /// other end may have restarted since, or the connection may have gone silent.
+    pub(crate) async fn exchange_repeatable(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        request: Request<Bytes>,
+    ) -> Result<(http::Response<Incoming>, PooledConnection), ExchangeError> {
+        if let Some(sender) = self.take_idle(address, IDLE_TIMEOUT) {
+            let exchange = self.exchange_on(address, sender, request.clone().map(Body::full));
+            if let Ok(Ok(exchanged)) = tokio::time::timeout(STALE_AFTER, exchange).await {
+                return Ok(exchanged);
+            }
+        }
+        self.exchange_on_new_connection(address, request.map(Body::full)).await
+    }
+
+    async fn exchange_on(
         self: &Arc<Self>,
         address: SocketAddr,
+        mut sender: SendRequest<Body>,
         request: Request<Body>,
     ) -> Result<(http::Response<Incoming>, PooledConnection), ExchangeError> {
-        let mut sender = self.connect(address).await?;
+        if self.partition.is_unreachable(address) {
+            // A connection that is open when the network partitions gets no response.
+            std::future::pending::<()>().await;
+        }
         let response = sender.send_request(request).await.map_err(ExchangeError::Lost)?;
         let connection = self.pooled(address, sender, &response);
         Ok((response, connection))
     }
 
+    /// Sends a request on a new connection.
+    pub(crate) async fn exchange_on_new_connection(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        request: Request<Body>,
+    ) -> Result<(http::Response<Incoming>, PooledConnection), ExchangeError> {
+        let sender = self.connect(address).await?;
+        self.exchange_on(address, sender, request).await
+    }
+
     /// Returns the simulated network partition.
     pub(crate) fn partition(&self) -> &Partition {
         &self.partition
@@ -189,3 +223,6 @@
     });
     Ok(sender)
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/medlarpoint_daemon/src/pool/tests.rs
@@ -0,0 +1,73 @@
+//! Tests of [`super`].
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::Pool;
+use crate::idle::Retention;
+
+const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+
+/// What a peer does with the second request on a connection.
+#[derive(Clone, Copy)]
+enum SecondRequest {
+    /// Closes the connection, like a peer that has restarted.
+    Close,
+    /// Never responds, like a connection that has gone silent.
+    Ignore,
+}
+
+async fn serve_connection(mut stream: TcpStream, second: SecondRequest) {
+    let mut buffer = [0; 1_024];
+    let _ = stream.read(&mut buffer).await;
+    stream.write_all(RESPONSE).await.unwrap();
+    let _ = stream.read(&mut buffer).await;
+    if let SecondRequest::Ignore = second {
+        std::future::pending::<()>().await;
+    }
+}
+
+async fn start_peer(second: SecondRequest) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve_connection(stream, second));
+        }
+    });
+    address
+}
+
+fn request() -> Request<Bytes> {
+    let request = Request::builder().method("POST").uri("/config").header("host", "peer");
+    request.body(Bytes::from_static(b"pull")).unwrap()
+}
+
+async fn assert_second_request_gets_a_response(second: SecondRequest) {
+    let address = start_peer(second).await;
+    let pool = Arc::new(Pool::new(Retention::PEER));
+    for _ in 0..2 {
+        let (response, connection) = pool.exchange_repeatable(address, request()).await.unwrap();
+        assert_eq!(response.status(), StatusCode::OK);
+        connection.release();
+    }
+}
+
+/// Guards against CONFIG of issue 25: a pull over a connection to a peer that had
+/// restarted failed, and the peer was not tried again until its next probe.
+#[tokio::test]
+async fn a_connection_that_breaks_is_replaced_by_a_new_one() {
+    assert_second_request_gets_a_response(SecondRequest::Close).await;
+}
+
+/// Guards against CONFIG of issue 25: a pull over a silent connection took until its time
+/// limit to fail.
+#[tokio::test]
+async fn a_connection_that_has_gone_silent_is_replaced_by_a_new_one() {
+    assert_second_request_gets_a_response(SecondRequest::Ignore).await;
+}
