Compare revisions and leases of the store only within an era

Callers would see a confirmed change not in force anywhere until the next one. Cause: revisions are given out again after a restore, and a watch from a revision of the lost time skips the changes up to it; lease ids are given out again too, so that a daemon could renew the lease of another and its own entry would stay lost. The in-memory store of the tests gave out no revision twice, so that no test could find it. The client reads the era of each response. A watch from another era fails like one whose history was compacted, and the key is read again; a lease of another era counts as lost. Tests: a_watch_from_before_a_restore_does_not_skip_changes (without the comparison: Ok without changes) and a_lease_from_before_a_restore_is_not_found (without it: renewed). Open: with source = 'commits', a conditional write of an earlier era may match a revision that was given out again; records of idempotency keys of the lost time are gone.

--- a/crates/medlarpoint_daemon/src/claim.rs
+++ b/crates/medlarpoint_daemon/src/claim.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use medlarpoint_model::Vm;
 use medlarpoint_routing::{AttemptId, Claim, ClaimResult, IdempotencyKey};
-use medlarpoint_store::{Error, Expected, Key, LeaseId, Store};
+use medlarpoint_store::{Error, Expected, Key, Lease, Store};
 use serde::{Deserialize, Serialize};
 
 use crate::inbound::perform;
@@ -75,17 +75,18 @@
 
 /// Returns the lease that new claims are bound to; requests a new one when it has
 /// been in use for [`CLAIM_LEASE_REUSE`].
-async fn claim_lease(shared: &Shared) -> Result<LeaseId, Error> {
+async fn claim_lease(shared: &Shared) -> Result<Lease, Error> {
     let mut lease = shared.claim_lease.lock().await;
     let now = shared.now();
-    if let Some((id, granted_at)) = *lease
+    if let Some((granted, granted_at)) = *lease
+        && granted.era == shared.store.era()
         && now.saturating_sub(granted_at) < CLAIM_LEASE_REUSE
     {
-        return Ok(id);
+        return Ok(granted);
     }
-    let id = shared.store.grant(CLAIM_LEASE_TTL).await?;
-    *lease = Some((id, now));
-    Ok(id)
+    let granted = shared.store.grant(CLAIM_LEASE_TTL).await?;
+    *lease = Some((granted, now));
+    Ok(granted)
 }
 
 /// Returns the result of a claim by `attempt` from the record in the store.
--- a/crates/medlarpoint_daemon/src/registry.rs
+++ b/crates/medlarpoint_daemon/src/registry.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use medlarpoint_membership::{Role, rank};
-use medlarpoint_store::{Consistency, Error, Expected, Key, LeaseId, Store};
+use medlarpoint_store::{Consistency, Error, Expected, Key, Lease, Store};
 use medlarpoint_wire::{LatencyBucket, Record};
 use rand::seq::SliceRandom;
 
@@ -78,7 +78,7 @@
 /// Last known state of this daemon's entry.
 #[derive(Debug, Default)]
 struct Entry {
-    lease: Option<LeaseId>,
+    lease: Option<Lease>,
     failures: u32,
 }
 
--- a/crates/medlarpoint_daemon/src/state.rs
+++ b/crates/medlarpoint_daemon/src/state.rs
@@ -18,7 +18,7 @@
 use medlarpoint_platform::bounds::Bounds;
 use medlarpoint_platform::store::Client;
 use medlarpoint_routing::{Budget, HedgeDelays, Intake, Picker, RouteTable, WaitEstimator};
-use medlarpoint_store::{Era, LeaseId};
+use medlarpoint_store::{Era, Lease};
 use medlarpoint_wire::{Readiness, Record, Tip};
 use tokio::sync::Notify;
 
@@ -138,7 +138,7 @@
     pub(crate) deregistrations: Mutex<Deregistrations>,
     /// Lease to which new claims of idempotency keys are bound, and the time when it was
     /// granted. Locked while a new lease is requested.
-    pub(crate) claim_lease: tokio::sync::Mutex<Option<(LeaseId, Duration)>>,
+    pub(crate) claim_lease: tokio::sync::Mutex<Option<(Lease, Duration)>>,
     pub(crate) slowdown: Slowdown,
     /// Connections of callers.
     pub(crate) caller_connections: Connections,
--- a/crates/medlarpoint_daemon/src/store_reader.rs
+++ b/crates/medlarpoint_daemon/src/store_reader.rs
@@ -14,7 +14,7 @@
 use medlarpoint_membership::{fallback, readers};
 use medlarpoint_model::Snapshot;
 use medlarpoint_platform::operator;
-use medlarpoint_store::{Consistency, Era, Error, Item, Key, Revision, Store};
+use medlarpoint_store::{Consistency, Era, Error, Item, Key, Position, Store};
 
 use crate::clock::{jitter, wall_ms};
 use crate::control::{Driver, ROLE_HOLDERS};
@@ -117,9 +117,9 @@
 /// Follows the changes of the configuration's key.
 #[derive(Debug, Default)]
 struct Follower {
-    /// Revision up to which all changes are known. Without one, the key is read before
+    /// Position up to which all changes are known. Without one, the key is read before
     /// the next watch.
-    after: Option<Revision>,
+    after: Option<Position>,
     failures: u32,
 }
 
@@ -205,7 +205,7 @@
 async fn handle_result(
     driver: &Driver,
     result: Result<(), ReadError>,
-    after: &mut Option<Revision>,
+    after: &mut Option<Position>,
 ) {
     let shared = driver.shared();
     match result {
--- a/crates/medlarpoint_standin/src/store.rs
+++ b/crates/medlarpoint_standin/src/store.rs
@@ -181,16 +181,27 @@
         Err(error) => return Some(respond(StatusCode::BAD_REQUEST, error.to_string())),
     };
     state.expire();
+    let mut response = execute(&state, operation, faults).await?;
+    let era = lock(&state.store).era();
+    wire::set_era(response.headers_mut(), era);
+    Some(response)
+}
+
+async fn execute(
+    state: &State,
+    operation: Operation,
+    faults: Faults,
+) -> Option<Response<Full<Bytes>>> {
     match operation {
-        Operation::Get { key } => Some(get(&state, &key)),
+        Operation::Get { key } => Some(get(state, &key)),
         Operation::Range { prefix, after, maybe_stale: _ } => {
-            Some(range(&state, &prefix, after.as_deref()))
+            Some(range(state, &prefix, after.as_deref()))
         }
-        Operation::Watch { prefix, after, wait } => Some(watch(&state, &prefix, after, wait).await),
+        Operation::Watch { prefix, after, wait } => Some(watch(state, &prefix, after, wait).await),
         Operation::Transaction(_)
         | Operation::Grant { .. }
         | Operation::Renew(_)
-        | Operation::Revoke(_) => write(&state, operation, faults),
+        | Operation::Revoke(_) => write(state, operation, faults),
     }
 }
 
@@ -223,7 +234,7 @@
         return wire::empty_response(StatusCode::NOT_FOUND);
     };
     let mut row = Row::from_item(key, &item, store.lease_of(key));
-    row.current = store.list("").current;
+    row.current = store.list("").current.revision;
     state.count_bytes_sent(std::slice::from_ref(&row));
     wire::json_response(StatusCode::OK, &row)
 }
@@ -239,7 +250,10 @@
     let has_more = items.len() > PAGE_ITEMS;
     items.truncate(PAGE_ITEMS);
     state.count_bytes_sent(&items);
-    wire::json_response(StatusCode::OK, &Page { items, has_more, current: listing.current })
+    wire::json_response(
+        StatusCode::OK,
+        &Page { items, has_more, current: listing.current.revision },
+    )
 }
 
 async fn watch(
@@ -258,7 +272,7 @@
             return wire::empty_response(StatusCode::GONE);
         };
         let events: Vec<Row> = found.changes.iter().map(Row::from_change).collect();
-        let events = Events { events, current: found.current };
+        let events = Events { events, current: found.current.revision };
         if !events.events.is_empty() {
             state.count_bytes_sent(&events.events);
             return wire::json_response(StatusCode::OK, &events);
@@ -355,3 +369,6 @@
     *store = next;
     wire::json_response(StatusCode::OK, &TransactionResponse { revision })
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/medlarpoint_store/src/lib.rs
+++ b/crates/medlarpoint_store/src/lib.rs
@@ -12,5 +12,6 @@
 pub use key::{InvalidKey, Key};
 pub use memory::{MemoryStore, Rejection};
 pub use store::{
-    Change, Changes, Consistency, Era, Expected, Item, LeaseId, Listing, Revision, Store,
+    Change, Changes, Consistency, Era, Expected, Item, Lease, LeaseId, Listing, Position, Revision,
+    Store,
 };
--- a/crates/medlarpoint_store/src/memory.rs
+++ b/crates/medlarpoint_store/src/memory.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 use indexmap::IndexMap;
 
-use crate::{Change, Changes, Error, Expected, Item, Key, LeaseId, Listing, Revision};
+use crate::{
+    Change, Changes, Era, Error, Expected, Item, Key, LeaseId, Listing, Position, Revision,
+};
 
 /// Upper limit for the size of a value, in bytes.
 const MAX_VALUE_BYTES: usize = 1_048_576;
@@ -22,6 +24,7 @@
     /// Revision up to which changes have been dropped from `history`.
     compacted: u64,
     last_revision: u64,
+    era: Era,
 }
 
 #[derive(Clone, Debug)]
@@ -78,7 +81,7 @@
         let mut items: Vec<(Key, Item)> =
             found.map(|(key, value)| (key.clone(), value.item.clone())).collect();
         items.sort_unstable_by(|a, b| a.0.cmp(&b.0));
-        Listing { items, current: Revision(self.last_revision) }
+        Listing { items, current: self.position() }
     }
 
     /// Returns the lease that the value of a key is bound to, if any.
@@ -128,15 +131,24 @@
         if holds { Ok(()) } else { Err(Rejection::Conflict(current)) }
     }
 
+    /// Returns the number of times that the store was restored from a copy.
+    pub fn era(&self) -> Era {
+        self.era
+    }
+
+    fn position(&self) -> Position {
+        Position { era: self.era, revision: Revision(self.last_revision) }
+    }
+
     /// Returns the changes after `after` to keys that begin with `prefix`.
     pub fn changes(&self, prefix: &str, after: Revision) -> Result<Changes, Rejection> {
-        if after.0 < self.compacted {
+        if after.0 < self.compacted || after.0 > self.last_revision {
             return Err(Rejection::Compacted);
         }
         let later = self.history.iter().filter(|(revision, _)| *revision > after);
         let matching = later.filter(|(_, change)| change.key.as_str().starts_with(prefix));
         let changes = matching.map(|(_, change)| change.clone()).collect();
-        Ok(Changes { changes, current: Revision(self.last_revision) })
+        Ok(Changes { changes, current: self.position() })
     }
 
     /// Drops the history of changes; values are kept.
@@ -182,21 +194,11 @@
         !expired.is_empty()
     }
 
-    /// Replaces the content with `backup`. Revisions keep rising, because a store
-    /// never reuses one.
+    /// Replaces the content with `backup`, a copy made earlier, and starts a new era.
+    /// Revisions and leases given out since the copy are given out again.
     pub fn restore(&mut self, backup: Self) {
-        let last_revision = self.last_revision.max(backup.last_revision) + 1;
-        let replaced: Vec<Key> = self.values.keys().cloned().collect();
-        *self = Self { last_revision, ..backup };
-        // Reports every key to watches, because the backup may change or remove it.
-        self.compact();
-        self.compacted = last_revision - 1;
-        let revision = Revision(last_revision);
-        let affected: Vec<Key> = self.values.keys().cloned().chain(replaced).collect();
-        for key in affected {
-            let item = self.get(&key);
-            self.history.push_back((revision, Change { key, item }));
-        }
+        let era = Era(self.era.0 + 1);
+        *self = Self { era, ..backup };
     }
 
     /// Returns the number of values.
--- a/crates/medlarpoint_store/src/memory/tests.rs
+++ b/crates/medlarpoint_store/src/memory/tests.rs
@@ -38,15 +38,15 @@
 fn changes_after_a_revision_are_returned_until_they_are_compacted() {
     let (key, other): (Key, Key) = ("a/b".parse().unwrap(), "c".parse().unwrap());
     let mut store = MemoryStore::default();
-    let start = store.list("").current;
+    let start = store.list("").current.revision;
     store.put(&key, Expected::Any, "1".into(), None).unwrap();
     store.put(&other, Expected::Any, "2".into(), None).unwrap();
     store.delete(&key, Expected::Any).unwrap();
     let changes = store.changes("a/", start).unwrap();
     let values: Vec<bool> = changes.changes.iter().map(|change| change.item.is_some()).collect();
     assert_eq!(values, [true, false]);
-    assert!(store.changes("a/", changes.current).unwrap().changes.is_empty());
+    assert!(store.changes("a/", changes.current.revision).unwrap().changes.is_empty());
     store.compact();
     assert_eq!(store.changes("a/", start), Err(Rejection::Compacted));
-    assert!(store.changes("a/", changes.current).is_ok());
+    assert!(store.changes("a/", changes.current.revision).is_ok());
 }
--- a/crates/medlarpoint_store/src/store.rs
+++ b/crates/medlarpoint_store/src/store.rs
@@ -33,6 +33,24 @@
     }
 }
 
+/// Point in the history of changes of the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Position {
+    /// Era in which the store gave out the revision.
+    pub era: Era,
+    /// Revision up to which all changes are known.
+    pub revision: Revision,
+}
+
+/// A lease of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lease {
+    /// Era in which the store granted the lease. A later one may grant its id again.
+    pub era: Era,
+    /// Identifier of the lease.
+    pub id: LeaseId,
+}
+
 /// Identifier of a lease. On the wire, 0 stands for no lease.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -54,9 +72,9 @@
 pub struct Listing {
     /// Keys and values, sorted by key.
     pub items: Vec<(Key, Item)>,
-    /// Revision of the store before the first value was read. A watch that starts
+    /// Position of the store before the first value was read. A watch that starts
     /// there misses no change.
-    pub current: Revision,
+    pub current: Position,
 }
 
 /// A change of the value of a key.
@@ -73,8 +91,8 @@
 pub struct Changes {
     /// Changes, oldest first; empty if none occurred within the wait time.
     pub changes: Vec<Change>,
-    /// Revision from which the next watch continues.
-    pub current: Revision,
+    /// Position from which the next watch continues.
+    pub current: Position,
 }
 
 /// Consistency of a read.
@@ -116,7 +134,7 @@
         key: &Key,
         expected: Expected,
         value: Bytes,
-        lease: Option<LeaseId>,
+        lease: Option<Lease>,
     ) -> impl Future<Output = Result<Revision, Error>> + Send;
 
     /// Removes a value if the precondition holds.
@@ -126,21 +144,22 @@
         expected: Expected,
     ) -> impl Future<Output = Result<(), Error>> + Send;
 
-    /// Waits up to `wait` for changes after revision `after` to keys that begin
-    /// with `prefix`.
+    /// Waits up to `wait` for changes after `after` to keys that begin with `prefix`.
+    /// Fails with [`Error::Compacted`] if the store was restored from a copy since.
     fn watch(
         &self,
         prefix: &Key,
-        after: Revision,
+        after: Position,
         wait: Duration,
     ) -> impl Future<Output = Result<Changes, Error>> + Send;
 
     /// Creates a lease that ends unless it is renewed within `ttl`.
-    fn grant(&self, ttl: Duration) -> impl Future<Output = Result<LeaseId, Error>> + Send;
+    fn grant(&self, ttl: Duration) -> impl Future<Output = Result<Lease, Error>> + Send;
 
-    /// Renews a lease.
-    fn renew(&self, lease: LeaseId) -> impl Future<Output = Result<(), Error>> + Send;
+    /// Renews a lease. Fails with [`Error::LeaseNotFound`] if the store was restored from
+    /// a copy since: its values may be gone.
+    fn renew(&self, lease: Lease) -> impl Future<Output = Result<(), Error>> + Send;
 
     /// Ends a lease and removes all its values.
-    fn revoke(&self, lease: LeaseId) -> impl Future<Output = Result<(), Error>> + Send;
+    fn revoke(&self, lease: Lease) -> impl Future<Output = Result<(), Error>> + Send;
 }
