Hand over no more calls than the limit that a target names

The daemon beside a target hands over all of its calls, retries and hedges of other daemons included, so it enforces the limit with a token bucket in its scheduler and needs no agreement; a restart learns the limit from the first response, with at most four calls in flight until then.

--- a/crates/medlarpoint_daemon/src/event.rs
+++ b/crates/medlarpoint_daemon/src/event.rs
@@ -173,6 +173,11 @@
     /// The target has not reported within the expected time. It receives no calls until its next report.
     5010 Warn TargetSilent { instance: String, ms: u128 } => "no report from {instance} for {ms} ms";
 
+    /// The target takes no more than this many calls per second from all callers together. Calls beyond it wait or are rejected.
+    5011 Warn TargetLimited { instance: String, per_second: f64 } => "process {instance} takes {per_second} calls per second";
+    /// The target names no limit on its calls per second any more.
+    5012 Info TargetUnlimited { instance: String } => "process {instance} names no limit any more";
+
     /// The connection limit of a listener is reached; new connections are closed immediately.
     5005 Warn ConnectionLimit { listener: String, limit: usize } => "{listener} has reached its limit of {limit} connections";
 
@@ -186,8 +191,8 @@
     7003 Info AttemptEnded { id: String, attempt: AttemptId, vm: Vm, point: FailurePoint, took_ms: u64 }
         => "call {id} attempt {attempt} at {vm} ended at {point} after {took_ms} ms";
     /// The inbound proxy rejected an attempt and did not hand it over to the target.
-    7004 Info AttemptRefused { id: String, attempt: AttemptId, route: Name, rank: u8, point: FailurePoint, running: u32, queued: u32, slots: u32, receive_ms: u32, link_ms: u32, left_ms: u64 }
-        => "call {id} attempt {attempt} on {route}, rank {rank}, rejected at {point}: {running} running, {queued} queued, {slots} slots, link free for requests in {receive_ms} ms, for responses in {link_ms} ms, {left_ms} ms left";
+    7004 Info AttemptRefused { id: String, attempt: AttemptId, route: Name, rank: u8, point: FailurePoint, running: u32, queued: u32, slots: u32, per_second: String, receive_ms: u32, link_ms: u32, left_ms: u64 }
+        => "call {id} attempt {attempt} on {route}, rank {rank}, rejected at {point}: {running} running, {queued} queued, {slots} slots, {per_second} per second, link free for requests in {receive_ms} ms, for responses in {link_ms} ms, {left_ms} ms left";
     /// An attempt was handed over to the target, but no usable response was received.
     7005 Warn AttemptLost { id: String, attempt: AttemptId, route: Name, point: FailurePoint, took_ms: u64 }
         => "call {id} attempt {attempt} on {route} lost at {point} after {took_ms} ms";
--- a/crates/medlarpoint_daemon/src/handover.rs
+++ b/crates/medlarpoint_daemon/src/handover.rs
@@ -14,8 +14,8 @@
 use crate::inbound::{InFlightAttempt, SavedResponse, load, respond};
 use crate::outbound_response::call_id;
 use crate::pool::{ExchangeError, PooledConnection};
-use crate::shaped_body;
 use crate::state::{Shared, lock};
+use crate::{shaped_body, target_response};
 
 /// Limit on a response that is saved to replay when its idempotency key is sent
 /// again, in bytes.
@@ -83,6 +83,7 @@
         None if is_shed(&parts) => ResponseClass::NotRun,
         None => ResponseClass::Ran,
     };
+    target_response::observe(&shared, &target, class, &parts.headers);
     match class {
         ResponseClass::Ran => {}
         ResponseClass::NotRun | ResponseClass::OtherInstance => {
--- a/crates/medlarpoint_daemon/src/inbound.rs
+++ b/crates/medlarpoint_daemon/src/inbound.rs
@@ -390,6 +390,7 @@
         return;
     };
     let load = load(shared);
+    let limit = lock(&shared.intake).scheduler_mut().target_limit();
     shared.emit_call(&Event::AttemptRefused {
         id: call_id(call::caller_info(headers).id.as_ref()),
         attempt: info.attempt,
@@ -399,6 +400,7 @@
         running: load.running,
         queued: load.queued,
         slots: load.slots,
+        per_second: limit.map_or_else(|| "any".to_owned(), |limit| limit.to_string()),
         receive_ms: load.receive_ms,
         link_ms: load.link_ms,
         left_ms: info.deadline.saturating_sub(shared.now()).as_millis() as u64,
--- a/crates/medlarpoint_daemon/src/lib.rs
+++ b/crates/medlarpoint_daemon/src/lib.rs
@@ -43,6 +43,7 @@
 mod state;
 mod store_reader;
 mod target;
+mod target_response;
 mod traffic;
 
 pub use api::{DocumentError, openapi};
--- a/crates/medlarpoint_daemon/src/state.rs
+++ b/crates/medlarpoint_daemon/src/state.rs
@@ -101,6 +101,14 @@
     pub(crate) silent: bool,
 }
 
+impl TargetState {
+    /// Returns whether both are states of the same process of the target.
+    pub(crate) fn is_same_process(&self, other: &Self) -> bool {
+        let identity = self.instance.as_ref().map(Instance::identity);
+        identity == other.instance.as_ref().map(Instance::identity)
+    }
+}
+
 /// Settings that may change while the daemon runs.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Reloadable {
--- a/crates/medlarpoint_daemon/src/target.rs
+++ b/crates/medlarpoint_daemon/src/target.rs
@@ -87,6 +87,7 @@
         Effect::Replaced => {
             let (service, slots) = (heartbeat.service.clone(), heartbeat.slots);
             shared.emit(&Event::TargetReplaced { service, instance: name(), slots });
+            lock(&shared.intake).scheduler_mut().on_target_replaced();
             driver.refresh_policy();
             publish(driver);
         }
@@ -108,12 +109,10 @@
     heartbeat: &Heartbeat,
 ) {
     let accepts_work = instance.as_ref().is_some_and(Instance::accepts_work);
-    let same_process = target.as_ref().is_some_and(|known| {
-        let born = |i: &Option<Instance>| i.as_ref().map(|i| i.report().born_ms);
-        let name = |i: &Option<Instance>| i.as_ref().map(|i| i.report().instance.clone());
-        born(&known.instance) == born(&instance) && name(&known.instance) == name(&instance)
-    });
-    let previous = target.as_ref().filter(|_| same_process);
+    let identity = instance.as_ref().map(Instance::identity);
+    let previous = target.as_ref();
+    let previous =
+        previous.filter(|known| known.instance.as_ref().map(Instance::identity) == identity);
     *target = Some(TargetState {
         service: heartbeat.service.clone(),
         address: heartbeat.address,
--- a/crates/medlarpoint_membership/src/instance.rs
+++ b/crates/medlarpoint_membership/src/instance.rs
@@ -52,6 +52,11 @@
         &self.report
     }
 
+    /// Returns the start time and the instance id, which together identify the process.
+    pub fn identity(&self) -> (u64, &str) {
+        (self.report.born_ms, &self.report.instance)
+    }
+
     /// Returns the time of the newest report, on the local clock.
     pub fn last_report_at(&self) -> Duration {
         self.last_report_at
--- a/crates/medlarpoint_routing/src/lib.rs
+++ b/crates/medlarpoint_routing/src/lib.rs
@@ -26,6 +26,7 @@
 mod route_table;
 mod scheduler;
 mod service_times;
+mod target_limit;
 mod wait_estimator;
 
 pub use attempt::{AttemptId, AttemptInfo, Claim, IdempotencyKey};
--- a/crates/medlarpoint_routing/src/scheduler.rs
+++ b/crates/medlarpoint_routing/src/scheduler.rs
@@ -14,6 +14,7 @@
 use crate::priority::{Priority, Queue};
 use crate::request_link::RequestLink;
 use crate::service_times::ServiceTimes;
+use crate::target_limit::TargetLimit;
 
 /// Lower limit of the advised time until a retry.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
@@ -137,6 +138,8 @@
     link: Link,
     /// Link in the direction of the requests.
     request_link: RequestLink,
+    /// Limit on the calls per second that the target has named.
+    target_limit: TargetLimit,
 }
 
 impl Scheduler {
@@ -145,7 +148,8 @@
     pub fn new(slots: u32, policy: Policy, now: Duration) -> Self {
         let (short, long) = (ClassState::default(), ClassState::default());
         let (link, request_link) = (Link::default(), RequestLink::default());
-        Self { slots, policy, ramp_start: now, short, long, link, request_link }
+        let target_limit = TargetLimit::default();
+        Self { slots, policy, ramp_start: now, short, long, link, request_link, target_limit }
     }
 
     /// Replaces the link over which responses are sent.
@@ -186,6 +190,24 @@
         self.slots = slots;
     }
 
+    /// Records that another process has become the target. Its limit is not known.
+    pub fn on_target_replaced(&mut self) {
+        self.target_limit = TargetLimit::Untried;
+    }
+
+    /// Records the limit on the calls per second that a response of the target names; the
+    /// target has none if the response names none. Returns whether the limit changed.
+    pub fn on_target_response(&mut self, now: Duration, per_second: Option<f64>) -> bool {
+        let before = self.target_limit.per_second();
+        self.target_limit.record(now, per_second);
+        before != self.target_limit.per_second()
+    }
+
+    /// Returns the limit on the calls per second that the target names.
+    pub fn target_limit(&self) -> Option<f64> {
+        self.target_limit.per_second()
+    }
+
     /// Requests a slot. Also returns the decision on a call that was displaced
     /// from the queue.
     pub fn arrive(&mut self, now: Duration, ticket: Ticket) -> (Admission, Option<Decision>) {
@@ -197,13 +219,14 @@
             return (self.admit_body(now, usable, &ticket), None);
         }
         let class = ticket.class;
-        if self.is_next(now, &ticket) && self.has_slot(class, usable) {
+        let may_start = self.target_limit.may_start(now);
+        if may_start && self.is_next(now, &ticket) && self.has_slot(class, usable) {
             if now >= ticket.deadline {
                 return (Admission::Rejected(Rejection::TooLate, MIN_RETRY_AFTER), None);
             }
             // A slot is free and no call waits for it.
             self.class_state_mut(class).late_starved = false;
-            self.start(class, &ticket.route);
+            self.start(now, class, &ticket.route);
             return (Admission::Run, None);
         }
         let retry_after = self.retry_after(now, usable, &ticket);
@@ -318,13 +341,20 @@
         Load {
             running: self.short.running + self.long.running,
             queued: (self.short.queue.len() + self.long.queue.len()) as u32,
-            slots: self.usable_slots(now),
+            slots: self.sustained_slots(now),
             pace_percent: 0,
             link_ms: self.link_backlog(now).as_millis() as u32,
             receive_ms: self.request_link.next_start(now).saturating_sub(now).as_millis() as u32,
         }
     }
 
+    /// Returns the number of slots that are in use at the limit that the target names.
+    fn sustained_slots(&self, now: Duration) -> u32 {
+        let usable = self.usable_slots(now);
+        let sustained = self.target_limit.sustained_calls(self.short.service_times.mean());
+        sustained.map_or(usable, |sustained| usable.min(sustained))
+    }
+
     /// Returns the time until the link has sent the responses of all running and
     /// queued calls.
     fn link_backlog(&self, now: Duration) -> Duration {
@@ -357,7 +387,7 @@
             if !in_time(&ticket) {
                 state.late_starved = false;
             }
-            self.start(class, &ticket.route);
+            self.start(now, class, &ticket.route);
             decisions.push(Decision::Run(ticket.attempt));
         }
         decisions
@@ -370,7 +400,8 @@
         Some(Decision::Rejected(attempt, Rejection::TooLate, retry_after))
     }
 
-    fn start(&mut self, class: Class, route: &Name) {
+    fn start(&mut self, now: Duration, class: Class, route: &Name) {
+        self.target_limit.on_start(now);
         self.link.call_started(route);
         self.class_state_mut(class).running += 1;
     }
@@ -390,6 +421,9 @@
     /// Returns the class that gets the next slot. Short calls go first, but one
     /// slot always goes to long calls if any are queued.
     fn next_class(&self, now: Duration, usable: u32) -> Option<Class> {
+        if !self.target_limit.may_start(now) {
+            return None;
+        }
         let long_waits = self.has_slot(Class::Long, usable) && self.has_eligible(now, Class::Long);
         if long_waits && self.long.running == 0 {
             return Some(Class::Long);
@@ -412,9 +446,16 @@
         (usable * u32::from(self.policy.long_share_percent) / 100).max(1)
     }
 
-    /// Returns the number of usable slots, which grows in proportion to the time
-    /// since the target appeared until the end of the ramp-up.
+    /// Returns the number of usable slots, which is small until the first response of the
+    /// target.
     fn usable_slots(&self, now: Duration) -> u32 {
+        let ramped = self.ramped_slots(now);
+        self.target_limit.max_in_flight().map_or(ramped, |max| ramped.min(max))
+    }
+
+    /// Returns the number of slots, which grows in proportion to the time since the target
+    /// appeared until the end of the ramp-up.
+    fn ramped_slots(&self, now: Duration) -> u32 {
         let ramp = Duration::from_millis(self.policy.ramp_ms);
         let elapsed = now.saturating_sub(self.ramp_start);
         if self.slots == 0 || elapsed >= ramp {
@@ -461,27 +502,28 @@
         let large = |waiting: &Ticket| self.link.is_large(&waiting.route);
         let ahead = queue.ahead(priority, ticket, free);
         Position {
-            slot_wait: self.slot_wait(ticket.class, usable, ahead),
+            slot_wait: self.slot_wait(now, ticket.class, usable, ahead),
             large_ahead: queue.ahead(priority, ticket, large),
         }
     }
 
-    fn slot_wait(&self, class: Class, usable: u32, ahead: usize) -> Duration {
+    /// Returns the time until a slot is free, and the target takes a call, for a call that
+    /// `ahead` others go before.
+    fn slot_wait(&self, now: Duration, class: Class, usable: u32, ahead: usize) -> Duration {
         let slots = match class {
             Class::Short => usable.saturating_sub(self.long.running).max(1),
             Class::Long => self.long_limit(usable),
         };
-        self.class_state(class)
-            .service_times
-            .mean()
-            .mul_f64((ahead as f64 + 1.0) / f64::from(slots))
+        let mean = self.class_state(class).service_times.mean();
+        let slot_free = mean.mul_f64((ahead as f64 + 1.0) / f64::from(slots));
+        slot_free.max(self.target_limit.wait(now, ahead))
     }
 
     /// Returns the advised time until a retry: the time until the present queue
     /// has drained and the link has sent the queued large responses.
     fn retry_after(&self, now: Duration, usable: u32, ticket: &Ticket) -> Duration {
         let queue = &self.class_state(ticket.class).queue;
-        let drained = self.slot_wait(ticket.class, usable, queue.len()).max(MIN_RETRY_AFTER);
+        let drained = self.slot_wait(now, ticket.class, usable, queue.len()).max(MIN_RETRY_AFTER);
         if !self.link.is_large(&ticket.route) {
             return drained;
         }
