Stop handing calls over to a target that says in its responses that it leaves

The daemon treats the header like a report that the target drains, and rejects later reports of the process that say otherwise. The other daemons remember the process, by its start time and id, and name it with each attempt for its VM.

--- a/crates/medlarpoint_daemon/src/daemon.rs
+++ b/crates/medlarpoint_daemon/src/daemon.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Mutex, RwLock};
 use std::time::Duration;
 
@@ -368,6 +369,8 @@
         target: Mutex::new(None),
         deregistrations: Mutex::default(),
         claim_lease: tokio::sync::Mutex::default(),
+        departures: Mutex::default(),
+        target_changed: AtomicBool::new(false),
         slowdown: Slowdown::default(),
         pool: Arc::new(Pool::new(Retention::PEER)),
         target_pool: Arc::new(Pool::new(Retention::TARGET)),
--- a/crates/medlarpoint_daemon/src/handover.rs
+++ b/crates/medlarpoint_daemon/src/handover.rs
@@ -11,7 +11,7 @@
 use crate::body::{Body, Buffered, EndAction, MAX_BUFFERED_BYTES, buffer};
 use crate::event::Event;
 use crate::header;
-use crate::inbound::{InFlightAttempt, SavedResponse, load, respond};
+use crate::inbound::{InFlightAttempt, SavedResponse, load, respond, set_leaving};
 use crate::outbound_response::call_id;
 use crate::pool::{ExchangeError, PooledConnection};
 use crate::state::{Shared, lock};
@@ -160,6 +160,7 @@
     header::set(&mut parts.headers, header::OUTCOME, Outcome::Ran.into());
     header::set(&mut parts.headers, header::VM, shared.settings.options.vm.as_str());
     header::set_load(&mut parts.headers, load);
+    set_leaving(shared, &mut parts.headers);
     Response::from_parts(parts, body)
 }
 
@@ -191,6 +192,7 @@
         header::USEFUL_MS,
         header::SERVICE,
         header::SPILL,
+        header::LEAVING,
     ] {
         headers.remove(name);
     }
--- a/crates/medlarpoint_daemon/src/inbound.rs
+++ b/crates/medlarpoint_daemon/src/inbound.rs
@@ -24,7 +24,8 @@
 use crate::header;
 use crate::held_body::MAX_REPLAY_BYTES;
 use crate::outbound_response::call_id;
-use crate::state::{Shared, lock};
+use crate::state::{Shared, TargetState, lock};
+use crate::target_response;
 
 /// Assumed size of a request body without a declared length, in bytes. Outbound proxies
 /// declare the length of smaller ones.
@@ -211,6 +212,9 @@
     body_bytes: usize,
 ) -> Response<Body> {
     let (parts, body) = request.into_parts();
+    if let Some(process) = header::parse::<String>(&parts.headers, &header::LEAVING) {
+        target_response::on_leaving_reported(&shared, &process);
+    }
     match parse_attempt(&shared, &parts.headers, body_bytes) {
         Ok(info) => process(shared, info, parts, body).await,
         Err(error) => bad_request(&error),
@@ -446,9 +450,20 @@
         header::set(headers, header::POINT, point.into());
     }
     header::set_load(headers, load);
+    set_leaving(shared, headers);
     response
 }
 
+/// Names the process of the target if it leaves, for the outbound proxies.
+pub(crate) fn set_leaving(shared: &Shared, headers: &mut HeaderMap) {
+    headers.remove(&header::LEAVING);
+    let target = lock(&shared.target);
+    let leaving = target.as_ref().filter(|target| target.is_leaving());
+    if let Some(process) = leaving.and_then(TargetState::process) {
+        header::set(headers, header::LEAVING, &process);
+    }
+}
+
 /// Returns whether a target that counts as down accepts a connection within 1 s.
 pub(crate) async fn probe_target(address: SocketAddr) -> bool {
     let connect = tokio::net::TcpStream::connect(address);
--- a/crates/medlarpoint_daemon/src/outbound_call.rs
+++ b/crates/medlarpoint_daemon/src/outbound_call.rs
@@ -234,6 +234,12 @@
         let route = &self.resolved.route.name;
         lock(&self.service.picker).on_sent(now, &destination.vm, attempt, route);
         let mut request = self.build_request(attempt, &destination, body);
+        // A caller may not set it.
+        request.headers_mut().remove(&header::LEAVING);
+        let leaving = lock(&self.shared.departures).leaving(now, &destination.vm);
+        if let Some(process) = leaving {
+            header::set(request.headers_mut(), header::LEAVING, &process);
+        }
         if may_spill {
             request.headers_mut().insert(header::SPILL, HeaderValue::from_static("yes"));
         }
@@ -341,6 +347,9 @@
         {
             let elapsed = now.saturating_sub(pending.sent_at);
             let vm = pending.vm.clone();
+            if let Some(response) = &response {
+                self.record_departure(now, &vm, &response.response);
+            }
             self.log_attempt(*attempt, &vm, &event, elapsed);
             self.update_picker(now, &vm, *attempt, &event, info, elapsed);
             if matches!(event, CallEvent::Responded(..)) {
@@ -353,6 +362,13 @@
         event
     }
 
+    /// Records the process of the target that the response names as leaving.
+    fn record_departure(&self, now: Duration, vm: &Vm, response: &Response<Body>) {
+        if let Some(process) = header::parse::<String>(response.headers(), &header::LEAVING) {
+            lock(&self.shared.departures).record(now, vm, &process);
+        }
+    }
+
     fn update_picker(
         &self,
         now: Duration,
@@ -442,6 +458,7 @@
         header::strip_hop_by_hop(&mut parts.headers);
         parts.headers.remove(&header::LOAD);
         parts.headers.remove(&header::TOOK_MS);
+        parts.headers.remove(&header::LEAVING);
         Response::from_parts(parts, body)
     }
 }
--- a/crates/medlarpoint_daemon/src/state.rs
+++ b/crates/medlarpoint_daemon/src/state.rs
@@ -6,6 +6,7 @@
 //! an await except `claim_lease`, which lets one task at a time request a lease.
 
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
@@ -17,7 +18,9 @@
 use medlarpoint_model::{Name, Snapshot, Version};
 use medlarpoint_platform::bounds::Bounds;
 use medlarpoint_platform::store::Client;
-use medlarpoint_routing::{Budget, HedgeDelays, Intake, Picker, RouteTable, WaitEstimator};
+use medlarpoint_routing::{
+    Budget, Departures, HedgeDelays, Intake, Picker, RouteTable, WaitEstimator,
+};
 use medlarpoint_store::{Era, Lease};
 use medlarpoint_wire::{Readiness, Record, Tip};
 use tokio::sync::Notify;
@@ -102,6 +105,30 @@
 }
 
 impl TargetState {
+    /// Returns the start time and the instance id of the process as one text. A process
+    /// may start again with the id that it had.
+    pub(crate) fn process(&self) -> Option<String> {
+        let (born_ms, instance) = self.instance.as_ref()?.identity();
+        Some(format!("{born_ms}/{instance}"))
+    }
+
+    /// Returns whether the process has said in a response that it leaves, or has
+    /// deregistered.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.instance.as_ref().is_some_and(Instance::is_leaving)
+    }
+
+    /// Takes the target out of service because its process leaves. Returns the process if
+    /// that is new.
+    pub(crate) fn leave(&mut self) -> Option<String> {
+        let instance = self.instance.as_mut()?;
+        if !instance.leave() {
+            return None;
+        }
+        self.readiness = Readiness::Draining;
+        Some(instance.identity().1.to_owned())
+    }
+
     /// Returns whether both are states of the same process of the target.
     pub(crate) fn is_same_process(&self, other: &Self) -> bool {
         let identity = self.instance.as_ref().map(Instance::identity);
@@ -147,6 +174,10 @@
     /// Lease to which new claims of idempotency keys are bound, and the time when it was
     /// granted. Locked while a new lease is requested.
     pub(crate) claim_lease: tokio::sync::Mutex<Option<(Lease, Duration)>>,
+    /// Processes of targets that have said in responses that they leave.
+    pub(crate) departures: Mutex<Departures>,
+    /// Whether the state of the target has changed since it was last announced.
+    pub(crate) target_changed: AtomicBool,
     pub(crate) slowdown: Slowdown,
     /// Connections of callers.
     pub(crate) caller_connections: Connections,
--- a/crates/medlarpoint_daemon/src/target.rs
+++ b/crates/medlarpoint_daemon/src/target.rs
@@ -1,6 +1,7 @@
 //! The target of this VM: announcement, heartbeats, drain and health checks.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use medlarpoint_api::Target;
@@ -242,6 +243,9 @@
             lock(&shared.intake).sweep(now)
         };
         inbound::perform(&shared, actions);
+        if shared.target_changed.swap(false, Ordering::AcqRel) {
+            publish(&driver);
+        }
         sweeps += 1;
         if sweeps.is_multiple_of(SWEEPS_PER_HEALTH_CHECK) {
             check_heartbeat(&driver, &shared);
--- a/crates/medlarpoint_daemon/src/target_response.rs
+++ b/crates/medlarpoint_daemon/src/target_response.rs
@@ -1,5 +1,7 @@
 //! What the responses of this VM's target say about the target itself.
 
+use std::sync::atomic::Ordering;
+
 use http::HeaderMap;
 use medlarpoint_platform::call::{self, ResponseClass};
 
@@ -17,6 +19,10 @@
     if !is_current(shared, target) {
         return;
     }
+    let says_state = matches!(class, ResponseClass::Ran | ResponseClass::NotRun);
+    if says_state && call::is_leaving(headers) {
+        record_leaving(shared, |current| current.is_same_process(target));
+    }
     let limit = call::parse_limit(headers);
     match class {
         ResponseClass::Ran => record_limit(shared, target, limit),
@@ -51,3 +57,25 @@
         None => Event::TargetUnlimited { instance },
     });
 }
+
+/// Handles the claim of an outbound proxy that a process of this VM's target leaves. This
+/// daemon may have restarted since that process said so.
+pub(crate) fn on_leaving_reported(shared: &Shared, process: &str) {
+    record_leaving(shared, |current| current.process().as_deref() == Some(process));
+}
+
+/// Hands over no more calls to the target if it is the process that leaves. The change is
+/// announced with the next sweep.
+fn record_leaving(shared: &Shared, is_leaving_process: impl Fn(&TargetState) -> bool) {
+    let left = {
+        let mut current = lock(&shared.target);
+        let current = current.as_mut().filter(|current| is_leaving_process(current));
+        current.and_then(TargetState::leave)
+    };
+    let Some(instance) = left else {
+        return;
+    };
+    lock(&shared.intake).set_draining(true);
+    shared.target_changed.store(true, Ordering::Release);
+    shared.emit(&Event::TargetLeaving { instance });
+}
--- a/crates/medlarpoint_membership/src/instance.rs
+++ b/crates/medlarpoint_membership/src/instance.rs
@@ -29,7 +29,8 @@
 pub struct Instance {
     report: Report,
     last_report_at: Duration,
-    deregistered: bool,
+    /// Whether the process has deregistered, or has said in a response that it leaves.
+    leaving: bool,
 }
 
 /// Effect of a report.
@@ -64,7 +65,12 @@
 
     /// Returns whether the process accepts new work.
     pub fn accepts_work(&self) -> bool {
-        !self.report.draining && !self.deregistered
+        !self.report.draining && !self.leaving
+    }
+
+    /// Returns whether the process has deregistered or has said that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
     }
 
     /// Applies a report to `current`, the process known so far, and returns its
@@ -78,7 +84,7 @@
                 known.report = report;
                 known.last_report_at = now;
             }
-            _ => *current = Some(Self { report, last_report_at: now, deregistered: false }),
+            _ => *current = Some(Self { report, last_report_at: now, leaving: false }),
         }
         effect
     }
@@ -89,11 +95,18 @@
         let same = &*self.report.instance == instance;
         let not_older = born_ms.is_none_or(|born| born >= self.report.born_ms);
         if same && not_older {
-            self.deregistered = true;
+            self.leaving = true;
         }
         same && not_older
     }
 
+    /// Records that the process has said that it leaves. Returns whether that is new.
+    pub fn leave(&mut self) -> bool {
+        let is_new = self.accepts_work();
+        self.leaving = true;
+        is_new
+    }
+
     fn effect_of(&self, now: Duration, report: &Report) -> Effect {
         let is_silent = now.saturating_sub(self.last_report_at) >= TAKEOVER_TIMEOUT;
         let older = report.born_ms < self.report.born_ms && report.born_ms > 0;
@@ -104,7 +117,8 @@
         if !same || report.born_ms != self.report.born_ms {
             return Effect::Replaced;
         }
-        if report.seq <= self.report.seq || self.deregistered {
+        let left_meanwhile = self.leaving && !report.draining;
+        if report.seq <= self.report.seq || left_meanwhile {
             return Effect::Late;
         }
         if report.draining == self.report.draining {
--- a/crates/medlarpoint_membership/src/instance/tests.rs
+++ b/crates/medlarpoint_membership/src/instance/tests.rs
@@ -60,3 +60,18 @@
     assert_eq!(Instance::apply(&mut current, at(1_000), report("b", 3_000, 1)), Effect::Late);
     assert_eq!(Instance::apply(&mut current, at(5_000), report("b", 3_000, 2)), Effect::Replaced);
 }
+
+/// Guards against DRAIN of issue 25: a target that says in its responses that it leaves
+/// gets no more calls, also if a report that it sent before arrives later.
+#[test]
+fn a_process_that_said_that_it_leaves_accepts_no_work_again() {
+    let mut current = None;
+    Instance::apply(&mut current, at(0), report("a", 10, 1));
+    assert!(current.as_mut().unwrap().leave());
+    assert!(!current.as_mut().unwrap().leave());
+    assert_eq!(Instance::apply(&mut current, at(100), report("a", 10, 2)), Effect::Late);
+    assert!(!current.as_ref().unwrap().accepts_work());
+    // Another process takes over the VM.
+    assert_eq!(Instance::apply(&mut current, at(200), report("b", 20, 1)), Effect::Replaced);
+    assert!(current.unwrap().accepts_work());
+}
--- a/crates/medlarpoint_routing/src/lib.rs
+++ b/crates/medlarpoint_routing/src/lib.rs
@@ -10,6 +10,7 @@
 mod budget;
 mod call;
 mod candidate;
+mod departures;
 mod fair;
 mod fence;
 mod finished;
@@ -36,6 +37,7 @@
     Action as CallAction, AttemptResult, AttemptStatus, Call, CallResult, Constraints,
     Event as CallEvent, Selector,
 };
+pub use departures::Departures;
 pub use hedge::HedgeDelays;
 pub use idempotency::IdempotencyWindow;
 pub use intake::{Action as IntakeAction, ClaimResult, Completion, Intake, Reply};
