--- a/crates/medlarpoint_daemon/src/header.rs
+++ b/crates/medlarpoint_daemon/src/header.rs
@@ -55,8 +55,9 @@
 /// and queued calls, and milliseconds until it has received the request bodies admitted
 /// so far.
 pub(crate) const LOAD: HeaderName = HeaderName::from_static("medlarpoint-load");
-/// Process of the target that has said that it leaves, as its start time and id: in a response, the one that the
-/// inbound proxy knows of; in an attempt, the one that the outbound proxy knows of.
+/// Process of the target that has said that it leaves, by its start time and id: in a
+/// response, the one that the inbound proxy knows of; in an attempt, the one that the
+/// outbound proxy knows of.
 pub(crate) const LEAVING: HeaderName = HeaderName::from_static("medlarpoint-leaving");
 /// VM whose daemon holds the claim of an idempotency key.
 pub(crate) const CLAIM_VM: HeaderName = HeaderName::from_static("medlarpoint-claim-vm");
