--- a/crates/medlarpoint_daemon/src/daemon.rs
+++ b/crates/medlarpoint_daemon/src/daemon.rs
@@ -367,6 +367,8 @@
         intake: Mutex::new(intake),
         waiters: Mutex::default(),
         target: Mutex::new(None),
+        target_run: Mutex::default(),
+        target_check: tokio::sync::Mutex::default(),
         deregistrations: Mutex::default(),
         claim_lease: tokio::sync::Mutex::default(),
         departures: Mutex::default(),
--- a/crates/medlarpoint_daemon/src/event.rs
+++ b/crates/medlarpoint_daemon/src/event.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use medlarpoint_config::Rejection;
-use medlarpoint_model::{DataCentre, Name, Version, Vm};
+use medlarpoint_model::{DataCentre, Fingerprint, Name, Version, Vm};
 use medlarpoint_routing::{AttemptId, FailurePoint, Outcome};
 use medlarpoint_store::Era;
 use medlarpoint_wire::Status;
@@ -178,6 +178,9 @@
     /// The target names no limit on its calls per second any more.
     5012 Info TargetUnlimited { instance: String } => "process {instance} names no limit any more";
 
+    /// The process of the target ended without having said that it leaves, while it ran calls. Each of them may be the cause; the same call in several such lines is. `calls` lists their fingerprints, which are the same at each arrival of a call. A process that had answered no call may be unable to run any.
+    5013 Warn TargetEnded { instance: String, running: usize, had_answered: bool, calls: String } => "process {instance} ended while it ran {running} calls (had answered others: {had_answered}): {calls}";
+
     /// The connection limit of a listener is reached; new connections are closed immediately.
     5005 Warn ConnectionLimit { listener: String, limit: usize } => "{listener} has reached its limit of {limit} connections";
 
@@ -194,8 +197,8 @@
     7004 Info AttemptRefused { id: String, attempt: AttemptId, route: Name, rank: u8, point: FailurePoint, running: u32, queued: u32, slots: u32, per_second: String, receive_ms: u32, link_ms: u32, left_ms: u64 }
         => "call {id} attempt {attempt} on {route}, rank {rank}, rejected at {point}: {running} running, {queued} queued, {slots} slots, {per_second} per second, link free for requests in {receive_ms} ms, for responses in {link_ms} ms, {left_ms} ms left";
     /// An attempt was handed over to the target, but no usable response was received.
-    7005 Warn AttemptLost { id: String, attempt: AttemptId, route: Name, point: FailurePoint, took_ms: u64 }
-        => "call {id} attempt {attempt} on {route} lost at {point} after {took_ms} ms";
+    7005 Warn AttemptLost { id: String, attempt: AttemptId, route: Name, point: FailurePoint, took_ms: u64, fingerprint: Fingerprint }
+        => "call {id} attempt {attempt} on {route} lost at {point} after {took_ms} ms, fingerprint {fingerprint}";
     /// Log lines about calls were suppressed to keep logs small under load. The counters in the metrics are complete.
     7006 Info LinesLeftOut { lines: u64 } => "{lines} log lines about calls were suppressed";
     /// No route matches a call, or this daemon cannot serve it.
--- a/crates/medlarpoint_daemon/src/handover.rs
+++ b/crates/medlarpoint_daemon/src/handover.rs
@@ -15,7 +15,8 @@
 use crate::outbound_response::call_id;
 use crate::pool::{ExchangeError, PooledConnection};
 use crate::state::{Shared, lock};
-use crate::{shaped_body, target_response};
+use crate::target_end::HandedOver;
+use crate::{call_identity, shaped_body, target_response};
 
 /// Limit on a response that is saved to replay when its idempotency key is sent
 /// again, in bytes.
@@ -35,6 +36,7 @@
     if !matches_service(&parts.headers, &target.service) {
         return reject(&shared, in_flight, FailurePoint::TargetConnect);
     }
+    let fingerprint = call_identity::of_attempt(&parts, &body);
     strip_proxy_headers(&mut parts.headers);
     let time_left = info.deadline.saturating_sub(shared.now());
     header::set(&mut parts.headers, header::DEADLINE_MS, &time_left.as_millis().to_string());
@@ -52,17 +54,21 @@
             route: info.route.clone(),
             point,
             took_ms: shared.now().saturating_sub(started_at).as_millis() as u64,
+            fingerprint,
         });
     };
+    let handed_over = HandedOver::new(&shared, info.attempt, fingerprint);
     let exchange = shared.target_pool.exchange(target.address, request, info.key.is_none());
     let result = tokio::time::timeout(time_left, exchange).await;
     let (response, connection) = match result {
         Ok(Ok(exchanged)) => exchanged,
         Ok(Err(ExchangeError::Connect(_))) => {
+            handed_over.withdraw();
             record_connection(&shared, false);
             return reject(&shared, in_flight, FailurePoint::TargetConnect);
         }
         Ok(Err(ExchangeError::Lost(_))) => {
+            handed_over.has_target_ended(&target).await;
             log_lost(FailurePoint::TargetLost);
             in_flight.end(Completion::Lost);
             return respond(&shared, Reply::Unknown(FailurePoint::TargetLost));
@@ -85,8 +91,9 @@
     };
     target_response::observe(&shared, &target, class, &parts.headers);
     match class {
-        ResponseClass::Ran => {}
+        ResponseClass::Ran => handed_over.answer(),
         ResponseClass::NotRun | ResponseClass::OtherInstance => {
+            handed_over.withdraw();
             if buffer(incoming, MAX_BUFFERED_BYTES).await.is_ok() {
                 connection.release();
             }
@@ -193,6 +200,7 @@
         header::SERVICE,
         header::SPILL,
         header::LEAVING,
+        header::FINGERPRINT,
     ] {
         headers.remove(name);
     }
--- a/crates/medlarpoint_daemon/src/header.rs
+++ b/crates/medlarpoint_daemon/src/header.rs
@@ -55,6 +55,8 @@
 /// and queued calls, and milliseconds until it has received the request bodies admitted
 /// so far.
 pub(crate) const LOAD: HeaderName = HeaderName::from_static("medlarpoint-load");
+/// Fingerprint of the call, set by the outbound proxy if it has read the request body.
+pub(crate) const FINGERPRINT: HeaderName = HeaderName::from_static("medlarpoint-fingerprint");
 /// Process of the target that has said that it leaves, by its start time and id: in a
 /// response, the one that the inbound proxy knows of; in an attempt, the one that the
 /// outbound proxy knows of.
--- a/crates/medlarpoint_daemon/src/lib.rs
+++ b/crates/medlarpoint_daemon/src/lib.rs
@@ -7,6 +7,7 @@
 mod auth;
 mod body;
 mod body_limit;
+mod call_identity;
 mod claim;
 mod clock;
 mod commit;
@@ -43,6 +44,7 @@
 mod state;
 mod store_reader;
 mod target;
+mod target_end;
 mod target_response;
 mod traffic;
 
--- a/crates/medlarpoint_daemon/src/outbound_call.rs
+++ b/crates/medlarpoint_daemon/src/outbound_call.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, Uri, request};
-use medlarpoint_model::{Name, Version, Vm};
+use medlarpoint_model::{BodyIdentity, Fingerprint, Name, Version, Vm};
 use medlarpoint_platform::call;
 use medlarpoint_routing::{
     AttemptId, AttemptResult, AttemptStatus, Call, CallAction, CallEvent, CallInfo, CallResult,
@@ -25,7 +25,7 @@
 use crate::outbound_response::{call_id, error_response};
 use crate::pool::{ExchangeError, Pool};
 use crate::state::{ServiceState, Shared, lock};
-use crate::{header, inbound};
+use crate::{call_identity, header, inbound};
 
 /// Time limit for a query about an attempt.
 const QUERY_TIMEOUT: Duration = Duration::from_secs(1);
@@ -47,6 +47,16 @@
         }
     }
 
+    /// Returns the identity of the call, or `None` while its body has not been read.
+    fn fingerprint(&self, parts: &request::Parts) -> Option<Fingerprint> {
+        match self {
+            Self::Buffered(bytes) => {
+                Some(call_identity::of_call(parts, BodyIdentity::Bytes(bytes)))
+            }
+            Self::Held(_) => None,
+        }
+    }
+
     /// Returns the body for the next attempt; `None` if it cannot be sent once more.
     fn body(&self) -> Option<Body> {
         match self {
@@ -110,6 +120,8 @@
     resolved: Arc<ResolvedRoute>,
     parts: request::Parts,
     payload: Payload,
+    /// Identity of the call; `None` while its body stays with the caller.
+    fingerprint: Option<Fingerprint>,
     key: Option<IdempotencyKey>,
     constraints: Constraints,
     sender: UnboundedSender<AttemptEvent>,
@@ -156,6 +168,7 @@
         let (sender, receiver) = unbounded_channel();
         let (pending, responses) = (HashMap::new(), HashMap::new());
         let (started_at, version) = (shared.now(), shared.version());
+        let fingerprint = payload.fingerprint(&parts);
         Self {
             started_at,
             attempts_sent: 0,
@@ -165,6 +178,7 @@
             resolved,
             parts,
             payload,
+            fingerprint,
             key,
             constraints,
             sender,
@@ -234,8 +248,12 @@
         let route = &self.resolved.route.name;
         lock(&self.service.picker).on_sent(now, &destination.vm, attempt, route);
         let mut request = self.build_request(attempt, &destination, body);
-        // A caller may not set it.
+        // A caller may not set them.
         request.headers_mut().remove(&header::LEAVING);
+        request.headers_mut().remove(&header::FINGERPRINT);
+        if let Some(fingerprint) = self.fingerprint {
+            header::set(request.headers_mut(), header::FINGERPRINT, &fingerprint.to_string());
+        }
         let leaving = lock(&self.shared.departures).leaving(now, &destination.vm);
         if let Some(process) = leaving {
             header::set(request.headers_mut(), header::LEAVING, &process);
--- a/crates/medlarpoint_daemon/src/pool.rs
+++ b/crates/medlarpoint_daemon/src/pool.rs
@@ -4,6 +4,7 @@
 //! one on the same connection, and an unresponsive connection blocks one call only.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -32,6 +33,9 @@
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Limit on the time to find out whether an address refuses connections.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Idle connections by address.
 #[derive(Debug)]
 pub(crate) struct Pool {
@@ -163,6 +167,21 @@
         self.exchange_on(address, sender, request).await
     }
 
+    /// Returns whether an address refuses connections. A connection that it accepts is kept
+    /// for a later request.
+    pub(crate) async fn is_refused(self: &Arc<Self>, address: SocketAddr) -> bool {
+        let connect = self.connect(address);
+        match tokio::time::timeout(REFUSAL_TIMEOUT, connect).await {
+            Ok(Ok(sender)) => {
+                let pool = Arc::clone(self);
+                PooledConnection { pool, address, sender, reuse_limit: IDLE_TIMEOUT }.release();
+                false
+            }
+            Ok(Err(ConnectError::Io(error))) => error.kind() == ErrorKind::ConnectionRefused,
+            Ok(Err(ConnectError::Timeout | ConnectError::Handshake(_))) | Err(_) => false,
+        }
+    }
+
     /// Returns the simulated network partition.
     pub(crate) fn partition(&self) -> &Partition {
         &self.partition
--- a/crates/medlarpoint_daemon/src/target.rs
+++ b/crates/medlarpoint_daemon/src/target.rs
@@ -14,6 +14,7 @@
 use crate::event::Event;
 use crate::inbound;
 use crate::state::{Shared, TargetState, lock};
+use crate::target_end;
 
 /// Limit on the slots, and on the connections, of a target.
 const MAX_SLOTS: u32 = 100_000;
@@ -70,16 +71,17 @@
         shared.emit(&Event::LateReport { instance: instance.to_owned(), seq: heartbeat.seq });
         return Ok(());
     }
-    let (effect, was_silent) = {
+    let (effect, previous) = {
         let mut target = lock(&shared.target);
-        let was_silent = target.as_ref().is_some_and(|target| target.silent);
+        let previous = target.clone();
         let mut current = target.as_ref().and_then(|target| target.instance.clone());
         let effect = Instance::apply(&mut current, shared.now(), report);
         if effect != Effect::Late {
             update_target(&mut target, current, heartbeat);
         }
-        (effect, was_silent)
+        (effect, previous)
     };
+    let was_silent = previous.as_ref().is_some_and(|previous| previous.silent);
     let name = || instance.to_owned();
     match effect {
         Effect::Late => shared.emit(&Event::LateReport { instance: name(), seq: heartbeat.seq }),
@@ -88,6 +90,9 @@
         Effect::Replaced => {
             let (service, slots) = (heartbeat.service.clone(), heartbeat.slots);
             shared.emit(&Event::TargetReplaced { service, instance: name(), slots });
+            if let Some(previous) = &previous {
+                target_end::on_replaced(shared, previous);
+            }
             lock(&shared.intake).scheduler_mut().on_target_replaced();
             driver.refresh_policy();
             publish(driver);
--- a/crates/medlarpoint_routing/src/lib.rs
+++ b/crates/medlarpoint_routing/src/lib.rs
@@ -28,6 +28,7 @@
 mod scheduler;
 mod service_times;
 mod target_limit;
+mod target_run;
 mod wait_estimator;
 
 pub use attempt::{AttemptId, AttemptInfo, Claim, IdempotencyKey};
@@ -50,4 +51,5 @@
 pub use request_link::RequestLink;
 pub use route_table::{ResolvedRoute, RouteTable};
 pub use scheduler::{Admission, Decision, Load, Rejection, Scheduler, Ticket};
+pub use target_run::{RunEnd, TargetRun};
 pub use wait_estimator::WaitEstimator;
