--- a/crates/medlarpoint_bench/src/fleet.rs
+++ b/crates/medlarpoint_bench/src/fleet.rs
@@ -20,6 +20,8 @@
 /// Loopback address whose port the operating system assigns.
 const LOOPBACK_ANY_PORT: SocketAddr =
     SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+/// Time for which a target is away after a crash.
+const TARGET_RESTART_TIME: Duration = Duration::from_millis(300);
 /// Time limit for the fleet to become ready or a change to come into force.
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
@@ -180,6 +182,7 @@
                 slots: service.slots,
                 service_time: ServiceTime { mean: service.service_time, slowdown: 1.0 },
                 seed: self.members.len() as u64,
+                restart_after: TARGET_RESTART_TIME,
             };
             let target =
                 TargetServer::start(LOOPBACK_ANY_PORT, options, self.execution_log.clone()).await?;
--- a/crates/medlarpoint_bench/src/soak/member.rs
+++ b/crates/medlarpoint_bench/src/soak/member.rs
@@ -18,6 +18,8 @@
 /// Limit on the time from a stop signal to the end of the daemon's process.
 const STOP_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time for which a target is away after a crash.
+const TARGET_RESTART_TIME: Duration = Duration::from_secs(2);
 /// Limit on the time from the start of a process until it handles signals.
 const SIGNAL_SETUP_TIME: Duration = Duration::from_millis(200);
 
@@ -106,6 +108,7 @@
                 slowdown: 1.0,
             },
             seed: number as u64,
+            restart_after: TARGET_RESTART_TIME,
         };
         let target =
             TargetServer::start(SocketAddr::new(ip, 0), options, execution_log.clone()).await?;
--- a/crates/medlarpoint_bench/tests/path.rs
+++ b/crates/medlarpoint_bench/tests/path.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use medlarpoint_bench::{Fleet, Preset, Site};
 use medlarpoint_cli::Exit;
-use medlarpoint_standin::{Faults, HttpClient};
+use medlarpoint_standin::{CRASH_QUERY, Faults, HttpClient};
 
 /// Starts a fleet of three daemons, each with a target of the service `orders`, in
 /// three data centres of two regions.
@@ -274,3 +274,39 @@
     assert!(results.iter().any(|r| r.as_ref().is_ok_and(|s| *s == allowed[1])));
     shutdown.await.unwrap().close().await;
 }
+
+/// Returns a lookup through a member. The query decides whether it crashes its targets.
+fn lookup(fleet: &Fleet, member: usize, id: &str, query: &str) -> Request<Full<bytes::Bytes>> {
+    let address = fleet.call_addresses()[member];
+    Request::builder()
+        .uri(format!("http://{address}/lookup?{query}"))
+        .header("host", "orders.talskrivarna")
+        .header("x-request-id", id)
+        .body(Full::default())
+        .unwrap()
+}
+
+/// Guards against a call that crashes each target that runs it and is handed over at each
+/// of its arrivals, whichever daemon it arrives at, until no target is left.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_crashes_its_targets_is_handed_over_a_few_times_only() {
+    const ARRIVALS: usize = 40;
+    /// Three crashes, and three more runs until every daemon knows of them.
+    const MAX_RUNS: usize = 6;
+    let fleet = start_configured_fleet().await;
+    let http = HttpClient::new(Duration::from_secs(10));
+    for arrival in 0..ARRIVALS {
+        let request = lookup(&fleet, arrival % 3, "fatal", CRASH_QUERY);
+        let response = http.send(request).await.unwrap();
+        let status = response.status();
+        assert!(status.is_server_error(), "{status}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let runs = fleet.execution_log.count("fatal");
+    assert!(runs <= MAX_RUNS, "the call ran {runs} times");
+    for member in 0..3 {
+        let response = http.send(lookup(&fleet, member, "innocent", "other")).await.unwrap();
+        assert_eq!(response.status(), StatusCode::OK);
+    }
+    fleet.close().await;
+}
--- a/crates/medlarpoint_standin/src/bin/medlarpoint-standin.rs
+++ b/crates/medlarpoint_standin/src/bin/medlarpoint-standin.rs
@@ -12,6 +12,9 @@
     TargetOptions, TargetServer,
 };
 
+/// Time for which a crashed target is away.
+const RESTART_AFTER: Duration = Duration::from_secs(3);
+
 /// Stand-ins for the platform's store, targets and callers.
 #[derive(Debug, Parser)]
 #[command(name = "medlarpoint-standin", version)]
@@ -104,7 +107,13 @@
         Command::Target { listen, api, service, slots, service_us } => {
             let service_time =
                 ServiceTime { mean: Duration::from_micros(service_us), slowdown: 1.0 };
-            let options = TargetOptions { name: service.to_string(), slots, service_time, seed: 1 };
+            let options = TargetOptions {
+                name: service.to_string(),
+                slots,
+                service_time,
+                seed: 1,
+                restart_after: RESTART_AFTER,
+            };
             let target = TargetServer::start(listen, options, ExecutionLog::default()).await?;
             println!("target of {service} on {}", target.address());
             let announcer = Announcer::start(api, service, target.address(), slots);
--- a/crates/medlarpoint_standin/src/lib.rs
+++ b/crates/medlarpoint_standin/src/lib.rs
@@ -11,4 +11,4 @@
 pub use http::{HttpClient, HttpError};
 pub use load::{Load, Phase, Report, RequestTemplate, Tally};
 pub use store::{Faults, Stats, StoreServer};
-pub use target::{Announcer, ServiceTime, TargetOptions, TargetServer};
+pub use target::{Announcer, CRASH_QUERY, ServiceTime, TargetOptions, TargetServer};
--- a/crates/medlarpoint_standin/src/target.rs
+++ b/crates/medlarpoint_standin/src/target.rs
@@ -1,7 +1,7 @@
 //! Stand-in target with a configurable service time.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -14,7 +14,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
+use tokio::sync::{Notify, Semaphore};
 use tokio::task::JoinHandle;
 
 use crate::http::{HttpClient, read_body, respond, serve};
@@ -23,6 +23,13 @@
 /// Interval between announcements.
 const ANNOUNCE_PERIOD: Duration = Duration::from_secs(2);
 
+/// Query of a request that crashes each target that begins to run it.
+pub const CRASH_QUERY: &str = "crash";
+/// Time from the start of a request that crashes its target to the crash.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
+/// Wait before a crashed target tries again to bind its address.
+const BIND_RETRY_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Service time of the requests of a target.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ServiceTime {
@@ -44,6 +51,8 @@
     pub service_time: ServiceTime,
     /// Seed of the variation of service times.
     pub seed: u64,
+    /// Time for which the target is away after a crash.
+    pub restart_after: Duration,
 }
 
 struct State {
@@ -53,6 +62,11 @@
     log: ExecutionLog,
     rng: Mutex<StdRng>,
     requests_started: AtomicU64,
+    crashes: AtomicU64,
+    /// Whether requests with [`CRASH_QUERY`] are served like others.
+    mended: AtomicBool,
+    /// Wakes the task that crashes the target.
+    crash: Notify,
     /// Time by which timers have fired late. It is subtracted from the service time of
     /// later requests, so that the mean stays as configured.
     timer_overshoot: Mutex<Duration>,
@@ -106,10 +120,13 @@
             log,
             rng: Mutex::new(StdRng::seed_from_u64(options.seed)),
             requests_started: AtomicU64::new(0),
+            crashes: AtomicU64::new(0),
+            mended: AtomicBool::new(false),
+            crash: Notify::new(),
             timer_overshoot: Mutex::default(),
             options,
         });
-        let task = serve(listener, Arc::clone(&state), handle);
+        let task = tokio::spawn(run(listener, address, Arc::clone(&state)));
         Ok(Self { address, state, task })
     }
 
@@ -128,12 +145,50 @@
         self.state.requests_started.load(Ordering::Relaxed)
     }
 
+    /// Returns how often the target has crashed.
+    pub fn crashes(&self) -> u64 {
+        self.state.crashes.load(Ordering::Relaxed)
+    }
+
+    /// Makes the target serve requests that have crashed it, as a fixed release does.
+    pub fn mend(&self) {
+        self.state.mended.store(true, Ordering::Relaxed);
+    }
+
     /// Stops the target and closes its connections abruptly.
     pub fn close(self) {
         self.task.abort();
     }
 }
 
+/// Serves requests. After each crash the target is away for a time and starts again on the
+/// same address.
+async fn run(mut listener: TcpListener, address: SocketAddr, state: Arc<State>) {
+    loop {
+        let serving = AbortOnDrop(serve(listener, Arc::clone(&state), handle));
+        state.crash.notified().await;
+        state.crashes.fetch_add(1, Ordering::Relaxed);
+        drop(serving);
+        tokio::time::sleep(state.options.restart_after).await;
+        listener = loop {
+            match TcpListener::bind(address).await {
+                Ok(listener) => break listener,
+                // The aborted task has not closed the old listener yet.
+                Err(_) => tokio::time::sleep(BIND_RETRY_INTERVAL).await,
+            }
+        };
+    }
+}
+
+/// Aborts a task when it is dropped.
+struct AbortOnDrop(JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 /// Returns the number in a header.
 fn header_number(headers: &HeaderMap, name: &str) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.parse().ok()
@@ -153,6 +208,12 @@
             Execution { keyed, request: request.to_owned(), target: state.options.name.clone() };
         state.log.record(execution);
     }
+    let crashes = parts.uri.query() == Some(CRASH_QUERY) && !state.mended.load(Ordering::Relaxed);
+    if crashes {
+        tokio::time::sleep(CRASH_DELAY).await;
+        state.crash.notify_waiters();
+        return std::future::pending().await;
+    }
     let service_time = *state.service_time.lock().unwrap_or_else(PoisonError::into_inner);
     let requested = header_number(&parts.headers, "x-work-us").map(Duration::from_micros);
     let variation = {
