--- a/crates/medlarpoint_bench/src/fuzz/calls.rs
+++ b/crates/medlarpoint_bench/src/fuzz/calls.rs
@@ -169,6 +169,10 @@
         true
     }
 
+    fn crash_backoff(&mut self, _: Duration) -> Option<Duration> {
+        None
+    }
+
     fn new_attempt_id(&mut self) -> AttemptId {
         *self.attempts += 1;
         AttemptId(*self.attempts)
--- a/crates/medlarpoint_daemon/src/attempt_response.rs
+++ b/crates/medlarpoint_daemon/src/attempt_response.rs
@@ -15,7 +15,10 @@
         AttemptResult::Unknown(point) => {
             matches!(
                 point,
-                FailurePoint::TargetGarbled | FailurePoint::TargetLost | FailurePoint::HalfAnswer
+                FailurePoint::TargetGarbled
+                    | FailurePoint::TargetLost
+                    | FailurePoint::TargetCrashed
+                    | FailurePoint::HalfAnswer
             )
         }
         AttemptResult::Response | AttemptResult::ClaimedBy(_) => false,
--- a/crates/medlarpoint_daemon/src/control.rs
+++ b/crates/medlarpoint_daemon/src/control.rs
@@ -19,7 +19,7 @@
 use crate::event::Event;
 use crate::state::{Control, InForce, Shared, lock};
 use crate::traffic::Counts;
-use crate::{peer, services};
+use crate::{peer, services, suspects};
 
 /// Interval between ticks of the control plane.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -335,6 +335,7 @@
             self.handle_member_events(&mut control);
             match &frame.body {
                 Body::Probe { gossip, .. } | Body::Ack { gossip, .. } => {
+                    suspects::merge(&self.shared, &gossip.suspects);
                     self.add_pull_candidate(&mut control, &frame.from, gossip);
                 }
                 Body::Announce { tip } => {
@@ -357,6 +358,9 @@
                         self.forward_store_read(&control, &read);
                     }
                 }
+                Body::Suspects { origin, suspects } => {
+                    suspects::receive(self, &control, origin, suspects);
+                }
                 Body::Receipt { version } => control.reporter.on_ack(&frame.from, *version),
                 Body::Indirect { .. } => {}
             }
@@ -465,7 +469,8 @@
         }
     }
 
-    pub(crate) fn send(&self, control: &Control, to: SocketAddr, body: Body) {
+    pub(crate) fn send(&self, control: &Control, to: SocketAddr, mut body: Body) {
+        suspects::add_to_gossip(&self.shared, &mut body);
         let frame = Frame {
             protocol: PROTOCOL_VERSION,
             fleet: self.shared.fleet().clone(),
--- a/crates/medlarpoint_daemon/src/daemon.rs
+++ b/crates/medlarpoint_daemon/src/daemon.rs
@@ -35,7 +35,8 @@
 use crate::state::{Control, InForce, Reloadable, Shared, lock};
 use crate::traffic::{Counts, Traffic};
 use crate::{
-    api, api_response, peer, platform_endpoints, registry, reload, startup, store_reader, target,
+    api, api_response, peer, platform_endpoints, registry, reload, startup, store_reader, suspects,
+    target,
 };
 
 /// Time until other processes know that this daemon leaves: members learn it from
@@ -367,6 +368,8 @@
         intake: Mutex::new(intake),
         waiters: Mutex::default(),
         target: Mutex::new(None),
+        suspects: Mutex::default(),
+        suspects_changed: Notify::new(),
         target_run: Mutex::default(),
         target_check: tokio::sync::Mutex::default(),
         deregistrations: Mutex::default(),
@@ -411,5 +414,6 @@
     tokio::spawn(store_reader::run(Arc::clone(driver)));
     tokio::spawn(registry::run(Arc::clone(driver)));
     tokio::spawn(startup::catch_up(Arc::clone(driver)));
+    tokio::spawn(suspects::run(Arc::clone(driver)));
     tokio::spawn(target::run_maintenance(Arc::clone(driver)));
 }
--- a/crates/medlarpoint_daemon/src/event.rs
+++ b/crates/medlarpoint_daemon/src/event.rs
@@ -178,9 +178,16 @@
     /// The target names no limit on its calls per second any more.
     5012 Info TargetUnlimited { instance: String } => "process {instance} names no limit any more";
 
-    /// The process of the target ended without having said that it leaves, while it ran calls. Each of them may be the cause; the same call in several such lines is. `calls` lists their fingerprints, which are the same at each arrival of a call. A process that had answered no call may be unable to run any.
+    /// The process of the target ended without having said that it leaves, while it ran calls. Each of them may be the cause; the same call in several such lines is. `calls` lists their fingerprints, which are the same at each arrival of a call. A target that had answered no call since it was last replaced may be unable to run any.
     5013 Warn TargetEnded { instance: String, running: usize, had_answered: bool, calls: String } => "process {instance} ended while it ran {running} calls (had answered others: {had_answered}): {calls}";
 
+    /// Targets have crashed under a call that another daemon tells of. After two crashes in a row the call is rejected for a time that grows with each further one; zero crashes mean that a target has answered it since.
+    5014 Info SuspectKnown { call: Fingerprint, crashes: u32, origin: Vm } => "{crashes} targets crashed in a row under call {call}, reported by {origin}";
+    /// A target has crashed under a call that this daemon's target was running, and under `crashes` in a row. A call that ran beside the cause has one crash and is cleared by its next response.
+    5015 Warn SuspectRaised { call: Fingerprint, crashes: u32 } => "{crashes} targets crashed in a row under call {call}";
+    /// This daemon's target has answered a call under which targets had crashed.
+    5016 Info SuspectCleared { call: Fingerprint, crashes: u32 } => "call {call} was answered after {crashes} crashes in a row";
+
     /// The connection limit of a listener is reached; new connections are closed immediately.
     5005 Warn ConnectionLimit { listener: String, limit: usize } => "{listener} has reached its limit of {limit} connections";
 
@@ -201,6 +208,8 @@
         => "call {id} attempt {attempt} on {route} lost at {point} after {took_ms} ms, fingerprint {fingerprint}";
     /// Log lines about calls were suppressed to keep logs small under load. The counters in the metrics are complete.
     7006 Info LinesLeftOut { lines: u64 } => "{lines} log lines about calls were suppressed";
+    /// A call was not handed over, because targets have crashed under it. It is rejected until the time that the response states, then tried on one target.
+    7008 Warn CallBackedOff { id: String, call: Fingerprint, crashes: u32, retry_ms: u64 } => "call {id} rejected after {crashes} crashes in a row under {call}, retry in {retry_ms} ms";
     /// No route matches a call, or this daemon cannot serve it.
     7007 Info CallUnroutable { id: String, reason: String, version: Version } => "call {id} not routed: {reason}, by {version}";
 
--- a/crates/medlarpoint_daemon/src/handover.rs
+++ b/crates/medlarpoint_daemon/src/handover.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use http::{HeaderMap, Request, Response, StatusCode};
-use medlarpoint_model::Name;
+use medlarpoint_model::{Fingerprint, Name};
 use medlarpoint_platform::call::{self, ResponseClass};
 use medlarpoint_routing::{AttemptInfo, Completion, FailurePoint, Outcome, Reply};
 
@@ -37,6 +37,7 @@
         return reject(&shared, in_flight, FailurePoint::TargetConnect);
     }
     let fingerprint = call_identity::of_attempt(&parts, &body);
+    learn_suspicion(&shared, &parts.headers, fingerprint);
     strip_proxy_headers(&mut parts.headers);
     let time_left = info.deadline.saturating_sub(shared.now());
     header::set(&mut parts.headers, header::DEADLINE_MS, &time_left.as_millis().to_string());
@@ -57,7 +58,15 @@
             fingerprint,
         });
     };
-    let handed_over = HandedOver::new(&shared, info.attempt, fingerprint);
+    let lose = |in_flight: InFlightAttempt, point| {
+        log_lost(point);
+        in_flight.end(Completion::Lost);
+        respond_unknown(&shared, point, fingerprint)
+    };
+    let handed_over = match HandedOver::new(&shared, info.attempt, fingerprint) {
+        Ok(handed_over) => handed_over,
+        Err(retry_after) => return reject_suspect(&shared, in_flight, fingerprint, retry_after),
+    };
     let exchange = shared.target_pool.exchange(target.address, request, info.key.is_none());
     let result = tokio::time::timeout(time_left, exchange).await;
     let (response, connection) = match result {
@@ -68,16 +77,11 @@
             return reject(&shared, in_flight, FailurePoint::TargetConnect);
         }
         Ok(Err(ExchangeError::Lost(_))) => {
-            handed_over.has_target_ended(&target).await;
-            log_lost(FailurePoint::TargetLost);
-            in_flight.end(Completion::Lost);
-            return respond(&shared, Reply::Unknown(FailurePoint::TargetLost));
-        }
-        Err(_) => {
-            log_lost(FailurePoint::Deadline);
-            in_flight.end(Completion::Lost);
-            return respond(&shared, Reply::Unknown(FailurePoint::Deadline));
+            let ended = handed_over.has_target_ended(&target).await;
+            let point = if ended { FailurePoint::TargetCrashed } else { FailurePoint::TargetLost };
+            return lose(in_flight, point);
         }
+        Err(_) => return lose(in_flight, FailurePoint::Deadline),
     };
     record_connection(&shared, true);
     let (mut parts, incoming) = response.into_parts();
@@ -100,9 +104,7 @@
             return reject(&shared, in_flight, FailurePoint::TargetShed);
         }
         ResponseClass::Unverified => {
-            log_lost(FailurePoint::TargetGarbled);
-            in_flight.end(Completion::Lost);
-            return respond(&shared, Reply::Unknown(FailurePoint::TargetGarbled));
+            return lose(in_flight, FailurePoint::TargetGarbled);
         }
     }
     let buffered = buffer(incoming, MAX_BUFFERED_BYTES);
@@ -180,6 +182,50 @@
     respond(shared, reply)
 }
 
+/// Rejects an attempt of a call under which targets have crashed. It may run after
+/// `retry_after`.
+fn reject_suspect(
+    shared: &Arc<Shared>,
+    in_flight: InFlightAttempt,
+    fingerprint: Fingerprint,
+    retry_after: Duration,
+) -> Response<Body> {
+    in_flight.end(Completion::NotRun);
+    let reply = Reply::NotRun { point: FailurePoint::CrashBackoff, rejection: None, retry_after };
+    let mut response = respond(shared, reply);
+    set_suspicion(shared, response.headers_mut(), fingerprint);
+    response
+}
+
+/// Returns the response to an attempt that the target may have run, with what is known of
+/// crashes under its call.
+fn respond_unknown(
+    shared: &Shared,
+    point: FailurePoint,
+    fingerprint: Fingerprint,
+) -> Response<Body> {
+    let mut response = respond(shared, Reply::Unknown(point));
+    set_suspicion(shared, response.headers_mut(), fingerprint);
+    response
+}
+
+/// Merges what the outbound proxy knows of crashes under its call.
+fn learn_suspicion(shared: &Shared, headers: &HeaderMap, fingerprint: Fingerprint) {
+    if let Some(report) = header::parse(headers, &header::SUSPICION) {
+        let now = shared.now();
+        lock(&shared.suspects).merge(now, fingerprint, report);
+    }
+}
+
+/// Tells the outbound proxy what is known of crashes under its call.
+fn set_suspicion(shared: &Shared, headers: &mut HeaderMap, fingerprint: Fingerprint) {
+    let now = shared.now();
+    let report = lock(&shared.suspects).report(now, fingerprint);
+    if let Some(report) = report {
+        header::set(headers, header::SUSPICION, &report.to_string());
+    }
+}
+
 /// Returns whether the target rejected the call to shed load and states that the
 /// call has not run.
 fn is_shed(parts: &http::response::Parts) -> bool {
@@ -201,6 +247,7 @@
         header::SPILL,
         header::LEAVING,
         header::FINGERPRINT,
+        header::SUSPICION,
     ] {
         headers.remove(name);
     }
--- a/crates/medlarpoint_daemon/src/header.rs
+++ b/crates/medlarpoint_daemon/src/header.rs
@@ -57,6 +57,9 @@
 pub(crate) const LOAD: HeaderName = HeaderName::from_static("medlarpoint-load");
 /// Fingerprint of the call, set by the outbound proxy if it has read the request body.
 pub(crate) const FINGERPRINT: HeaderName = HeaderName::from_static("medlarpoint-fingerprint");
+/// What the sender knows of crashes under the call: acquittals, crashes in a row and the
+/// time since the last, in milliseconds.
+pub(crate) const SUSPICION: HeaderName = HeaderName::from_static("medlarpoint-suspicion");
 /// Process of the target that has said that it leaves, by its start time and id: in a
 /// response, the one that the inbound proxy knows of; in an attempt, the one that the
 /// outbound proxy knows of.
--- a/crates/medlarpoint_daemon/src/lib.rs
+++ b/crates/medlarpoint_daemon/src/lib.rs
@@ -43,6 +43,7 @@
 mod startup;
 mod state;
 mod store_reader;
+mod suspects;
 mod target;
 mod target_end;
 mod target_response;
--- a/crates/medlarpoint_daemon/src/outbound_call.rs
+++ b/crates/medlarpoint_daemon/src/outbound_call.rs
@@ -3,17 +3,17 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, Uri, request};
+use http::{HeaderMap, HeaderValue, Request, Response, Uri, request};
 use medlarpoint_model::{BodyIdentity, Fingerprint, Name, Version, Vm};
 use medlarpoint_platform::call;
 use medlarpoint_routing::{
     AttemptId, AttemptResult, AttemptStatus, Call, CallAction, CallEvent, CallInfo, CallResult,
     Constraints, Destination, FailurePoint, IdempotencyKey, Outcome, ResolvedRoute, ResponseInfo,
-    Selector,
+    Selector, Suspects, Verdict,
 };
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::AbortHandle;
@@ -81,8 +81,10 @@
 /// Selects targets for one call and spends the budgets of its service.
 struct TargetSelector<'a> {
     service: &'a ServiceState,
+    suspects: &'a Mutex<Suspects>,
     route: Name,
     body_bytes: usize,
+    fingerprint: Option<Fingerprint>,
     key: Option<IdempotencyKey>,
 }
 
@@ -108,6 +110,13 @@
         lock(&self.service.hedges).withdraw()
     }
 
+    fn crash_backoff(&mut self, now: Duration) -> Option<Duration> {
+        match lock(self.suspects).verdict(now, self.fingerprint?) {
+            Verdict::Run => None,
+            Verdict::Backoff(retry_after) => Some(retry_after),
+        }
+    }
+
     fn new_attempt_id(&mut self) -> AttemptId {
         AttemptId(rand::random())
     }
@@ -195,7 +204,15 @@
         let service = Arc::clone(&self.service);
         let body_bytes = self.payload.len();
         let route = self.resolved.route.name.clone();
-        let mut selector = TargetSelector { service: &service, route, body_bytes, key: self.key };
+        let shared = Arc::clone(&self.shared);
+        let mut selector = TargetSelector {
+            service: &service,
+            suspects: &shared.suspects,
+            route,
+            body_bytes,
+            fingerprint: self.fingerprint,
+            key: self.key,
+        };
         let (mut call, mut actions) = Call::start(now, self.constraints, &mut selector);
         loop {
             if let Some(result) = self.perform(actions, &call) {
@@ -251,9 +268,8 @@
         // A caller may not set them.
         request.headers_mut().remove(&header::LEAVING);
         request.headers_mut().remove(&header::FINGERPRINT);
-        if let Some(fingerprint) = self.fingerprint {
-            header::set(request.headers_mut(), header::FINGERPRINT, &fingerprint.to_string());
-        }
+        request.headers_mut().remove(&header::SUSPICION);
+        self.set_fingerprint(now, request.headers_mut());
         let leaving = lock(&self.shared.departures).leaving(now, &destination.vm);
         if let Some(process) = leaving {
             header::set(request.headers_mut(), header::LEAVING, &process);
@@ -316,6 +332,18 @@
         request
     }
 
+    /// Names the call, and what is known of crashes under it.
+    fn set_fingerprint(&self, now: Duration, headers: &mut HeaderMap) {
+        let Some(fingerprint) = self.fingerprint else {
+            return;
+        };
+        header::set(headers, header::FINGERPRINT, &fingerprint.to_string());
+        let report = lock(&self.shared.suspects).report(now, fingerprint);
+        if let Some(report) = report {
+            header::set(headers, header::SUSPICION, &report.to_string());
+        }
+    }
+
     /// Queries the inbound proxy about the status of an attempt.
     fn query_attempt(&self, attempt: AttemptId, destination: &Destination) {
         let now = self.shared.now();
@@ -367,6 +395,7 @@
             let vm = pending.vm.clone();
             if let Some(response) = &response {
                 self.record_departure(now, &vm, &response.response);
+                self.record_suspicion(now, &response.response);
             }
             self.log_attempt(*attempt, &vm, &event, elapsed);
             self.update_picker(now, &vm, *attempt, &event, info, elapsed);
@@ -380,6 +409,14 @@
         event
     }
 
+    /// Records what the inbound proxy knows of crashes under the call.
+    fn record_suspicion(&self, now: Duration, response: &Response<Body>) {
+        let report = header::parse(response.headers(), &header::SUSPICION);
+        if let (Some(fingerprint), Some(report)) = (self.fingerprint, report) {
+            lock(&self.shared.suspects).merge(now, fingerprint, report);
+        }
+    }
+
     /// Records the process of the target that the response names as leaving.
     fn record_departure(&self, now: Duration, vm: &Vm, response: &Response<Body>) {
         if let Some(process) = header::parse::<String>(response.headers(), &header::LEAVING) {
@@ -430,6 +467,9 @@
         let (sent, version) = (self.attempts_sent, self.version);
         let took_ms = elapsed.as_millis() as u64;
         let event = match result {
+            CallResult::NotRun { point: FailurePoint::CrashBackoff, retry_after } => {
+                self.backed_off(id, retry_after)
+            }
             CallResult::NotRun { point, retry_after } => {
                 let retry_ms = retry_after.as_millis() as u64;
                 Event::CallRefused { id, route, service, point, sent, took_ms, retry_ms, version }
@@ -446,6 +486,13 @@
         self.shared.emit_call(&event);
     }
 
+    /// Returns the event of a call that was rejected for the crashes under it.
+    fn backed_off(&self, id: String, retry_after: Duration) -> Event {
+        let call = self.fingerprint.unwrap_or(Fingerprint(0));
+        let crashes = lock(&self.shared.suspects).suspicion(call).crashes;
+        Event::CallBackedOff { id, call, crashes, retry_ms: retry_after.as_millis() as u64 }
+    }
+
     /// Logs an attempt that failed. Other events of attempts are not logged.
     fn log_attempt(&self, attempt: AttemptId, vm: &Vm, event: &CallEvent, elapsed: Duration) {
         let point = match event {
@@ -477,6 +524,7 @@
         parts.headers.remove(&header::LOAD);
         parts.headers.remove(&header::TOOK_MS);
         parts.headers.remove(&header::LEAVING);
+        parts.headers.remove(&header::SUSPICION);
         Response::from_parts(parts, body)
     }
 }
--- a/crates/medlarpoint_daemon/src/peer.rs
+++ b/crates/medlarpoint_daemon/src/peer.rs
@@ -13,8 +13,8 @@
 use medlarpoint_config::{Distance, history};
 use medlarpoint_model::DataCentre;
 use medlarpoint_wire::{
-    DecodeError, EncodeError, PROTOCOL_VERSION, PullRequest, PullResponse, Record, SyncRequest,
-    SyncResponse, Tip, decode, encode,
+    DecodeError, EncodeError, PROTOCOL_VERSION, PullRequest, PullResponse, Record, Suspect,
+    SyncRequest, SyncResponse, Tip, decode, encode,
 };
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
@@ -23,7 +23,7 @@
 use crate::pool::ExchangeError;
 use crate::server::accept;
 use crate::state::{Shared, lock};
-use crate::{compression, header, services};
+use crate::{compression, header, services, suspects};
 
 /// Size limit of a control message, in bytes. A compressed message has to stay within
 /// it after decompression as well.
@@ -176,6 +176,15 @@
     Ok(decode(&bytes)?)
 }
 
+/// Requests the calls under which targets have crashed from a peer.
+pub(crate) async fn suspects(
+    shared: &Shared,
+    to: SocketAddr,
+) -> Result<Vec<Suspect>, RequestError> {
+    let bytes = request(shared, to, Distance::Near, "/suspects", Vec::new()).await?;
+    Ok(decode(&bytes)?)
+}
+
 /// Serves control requests until the daemon closes.
 pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
     let connections = Arc::new(Semaphore::new(MAX_CONNECTIONS));
@@ -260,6 +269,7 @@
             Ok(Vec::new())
         }
         "/history" => handle_history(shared),
+        "/suspects" => handle_suspects(shared),
         _ => Err(Rejection::Path),
     }
 }
@@ -296,3 +306,10 @@
     let entries: Vec<history::Entry> = lock(&shared.control).history.entries().cloned().collect();
     Ok(encode(&entries)?)
 }
+
+fn handle_suspects(shared: &Shared) -> Result<Vec<u8>, Rejection> {
+    let now = shared.now();
+    let reports = lock(&shared.suspects).reports(now, suspects::CALLS_PER_RESPONSE);
+    let suspects: Vec<Suspect> = reports.into_iter().map(suspects::encode).collect();
+    Ok(encode(&suspects)?)
+}
--- a/crates/medlarpoint_daemon/src/startup.rs
+++ b/crates/medlarpoint_daemon/src/startup.rs
@@ -17,7 +17,7 @@
 use crate::event::Event;
 use crate::settings::Source;
 use crate::state::{Shared, lock};
-use crate::{peer, registry, store_reader};
+use crate::{peer, registry, store_reader, suspects};
 
 /// Number of peers from which a daemon pulls before it serves callers.
 const PEERS_PULLED: usize = 3;
@@ -219,6 +219,11 @@
         {
             lock(&shared.control).history.merge(&entries);
         }
+        if accepted == 1
+            && let Ok(known) = peer::suspects(shared, address).await
+        {
+            suspects::merge(shared, &known);
+        }
     }
     accepted > 0
 }
--- a/crates/medlarpoint_daemon/src/state.rs
+++ b/crates/medlarpoint_daemon/src/state.rs
@@ -1,7 +1,7 @@
 //! State shared by the tasks of a daemon.
 //!
 //! Lock order: `control`, then `services`, then a service's picker, budgets
-//! or hedges, then `intake`, then `waiters`. `target`, `target_run`, `deregistrations` and
+//! or hedges, then `intake`, then `waiters`. `suspects` is locked last. `target`, `target_run`, `deregistrations` and
 //! `wait_estimator` are not held together with any other lock. No lock is held across
 //! an await except `claim_lease`, which lets one task at a time request a lease, and
 //! `target_check`, which lets one task at a time connect to the target.
@@ -20,7 +20,7 @@
 use medlarpoint_platform::bounds::Bounds;
 use medlarpoint_platform::store::Client;
 use medlarpoint_routing::{
-    Budget, Departures, HedgeDelays, Intake, Picker, RouteTable, TargetRun, WaitEstimator,
+    Budget, Departures, HedgeDelays, Intake, Picker, RouteTable, Suspects, TargetRun, WaitEstimator,
 };
 use medlarpoint_store::{Era, Lease};
 use medlarpoint_wire::{Readiness, Record, Tip};
@@ -170,10 +170,15 @@
     pub(crate) intake: Mutex<Intake<SavedResponse>>,
     pub(crate) waiters: Mutex<Waiters>,
     pub(crate) target: Mutex<Option<TargetState>>,
+    /// Calls under which targets have crashed.
+    pub(crate) suspects: Mutex<Suspects>,
+    /// Wakes the task that broadcasts changes of `suspects`.
+    pub(crate) suspects_changed: Notify,
     /// Calls that the current process of the target has begun.
     pub(crate) target_run: Mutex<TargetRun>,
-    /// Locked while a task finds out whether the process of the target has ended.
-    pub(crate) target_check: tokio::sync::Mutex<()>,
+    /// Time of the last connection to the target, on the local clock, that was not refused
+    /// after another had broken. Locked while a task connects.
+    pub(crate) target_check: tokio::sync::Mutex<Duration>,
     /// Target processes that have deregistered.
     pub(crate) deregistrations: Mutex<Deregistrations>,
     /// Lease to which new claims of idempotency keys are bound, and the time when it was
--- a/crates/medlarpoint_daemon/src/target_end.rs
+++ b/crates/medlarpoint_daemon/src/target_end.rs
@@ -1,9 +1,10 @@
 //! Tells the end of the target's process from a broken connection.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use medlarpoint_model::Fingerprint;
-use medlarpoint_routing::{AttemptId, RunEnd};
+use medlarpoint_routing::{AttemptId, RunEnd, RunningCall, Suspicion, Verdict};
 use medlarpoint_wire::Readiness;
 
 use crate::event::Event;
@@ -18,17 +19,35 @@
 pub(crate) struct HandedOver {
     shared: Arc<Shared>,
     attempt: AttemptId,
+    call: RunningCall,
     /// Number of the target's run that the call was handed over to.
     run: u64,
     ended: bool,
 }
 
 impl HandedOver {
-    pub(crate) fn new(shared: &Arc<Shared>, attempt: AttemptId, fingerprint: Fingerprint) -> Self {
+    /// Records that a call is handed over, unless targets have crashed under it lately. Then
+    /// returns the time after which it may run.
+    pub(crate) fn new(
+        shared: &Arc<Shared>,
+        attempt: AttemptId,
+        fingerprint: Fingerprint,
+    ) -> Result<Self, Duration> {
+        let call = {
+            let now = shared.now();
+            let mut suspects = lock(&shared.suspects);
+            if let Verdict::Backoff(retry_after) = suspects.begin(now, fingerprint) {
+                return Err(retry_after);
+            }
+            RunningCall { fingerprint, known: suspects.suspicion(fingerprint) }
+        };
+        if call.known.is_suspect() {
+            shared.suspects_changed.notify_one();
+        }
         let mut target_run = lock(&shared.target_run);
-        target_run.begin(attempt, fingerprint);
+        target_run.begin(attempt, call);
         let run = target_run.number();
-        Self { shared: Arc::clone(shared), attempt, run, ended: false }
+        Ok(Self { shared: Arc::clone(shared), attempt, call, run, ended: false })
     }
 
     /// Records that the target has answered the call.
@@ -36,6 +55,17 @@
         self.ended = true;
         let now = self.shared.now();
         lock(&self.shared.target_run).answer(now, self.attempt);
+        let RunningCall { fingerprint, known } = self.call;
+        let cleared = {
+            let mut suspects = lock(&self.shared.suspects);
+            let crashes = suspects.suspicion(fingerprint).crashes;
+            suspects.on_response(now, fingerprint, known);
+            (crashes > suspects.suspicion(fingerprint).crashes).then_some(crashes)
+        };
+        if let Some(crashes) = cleared {
+            self.shared.suspects_changed.notify_one();
+            self.shared.emit_call(&Event::SuspectCleared { call: fingerprint, crashes });
+        }
     }
 
     /// Records that the target has not run the call.
@@ -48,12 +78,18 @@
     /// connection to it broke.
     pub(crate) async fn has_target_ended(&self, target: &TargetState) -> bool {
         let shared = &self.shared;
+        let broke_at = shared.now();
         // One connection tells for all calls whose connections broke at the same time.
-        let _turn = shared.target_check.lock().await;
+        let mut accepted_at = shared.target_check.lock().await;
         if lock(&shared.target_run).number() != self.run {
             return true;
         }
+        if *accepted_at >= broke_at {
+            return false;
+        }
+        let checked_at = shared.now();
         if !shared.target_pool.is_refused(target.address).await {
+            *accepted_at = checked_at;
             return false;
         }
         record_end(shared, target, self.run);
@@ -73,6 +109,10 @@
 /// Records that another process has become the target. `previous` is the state of the
 /// target before that.
 pub(crate) fn on_replaced(shared: &Shared, previous: &TargetState) {
+    if is_leaving(previous) {
+        lock(&shared.target_run).replace();
+        return;
+    }
     let run = lock(&shared.target_run).number();
     record_end(shared, previous, run);
 }
@@ -83,18 +123,30 @@
         let now = shared.now();
         lock(&shared.target_run).end(now, run)
     };
-    let is_expected = target.is_leaving() || target.readiness == Readiness::Draining;
-    let Some(end) = end.filter(|end| !end.calls.is_empty() && !is_expected) else {
+    let Some(end) = end.filter(|end| !end.calls.is_empty() && !is_leaving(target)) else {
         return;
     };
     metrics::counter!("medlarpoint_target_ends_total").increment(1);
     log_end(shared, target, &end);
+    let raised = {
+        let now = shared.now();
+        lock(&shared.suspects).on_run_end(now, &end)
+    };
+    shared.suspects_changed.notify_one();
+    for (call, Suspicion { crashes, .. }) in raised {
+        shared.emit_call(&Event::SuspectRaised { call, crashes });
+    }
+}
+
+/// Returns whether a target has said that it leaves, so that its end is expected.
+fn is_leaving(target: &TargetState) -> bool {
+    target.is_leaving() || target.readiness == Readiness::Draining
 }
 
 fn log_end(shared: &Shared, target: &TargetState, end: &RunEnd) {
     let instance = target.instance.as_ref().map(|known| known.report().instance.to_string());
     let named = end.calls.iter().take(MAX_LOGGED_CALLS);
-    let named: Vec<String> = named.map(Fingerprint::to_string).collect();
+    let named: Vec<String> = named.map(|call| call.fingerprint.to_string()).collect();
     shared.emit(&Event::TargetEnded {
         instance: instance.unwrap_or_default(),
         running: end.calls.len(),
--- a/crates/medlarpoint_dev/src/outcomes.rs
+++ b/crates/medlarpoint_dev/src/outcomes.rs
@@ -54,6 +54,12 @@
         FailurePoint::TargetLost | FailurePoint::CallerBody => {
             "intake::tests::the_outcome_is_unknown_if_the_connection_to_the_target_is_lost"
         }
+        FailurePoint::TargetCrashed => {
+            "call::tests::a_call_under_which_a_second_target_crashed_is_not_sent_to_a_third"
+        }
+        FailurePoint::CrashBackoff => {
+            "call::tests::a_call_that_crashed_targets_before_is_rejected_at_once"
+        }
         FailurePoint::ClaimFailed => {
             "intake::tests::an_attempt_whose_claim_fails_is_not_handed_over"
         }
--- a/crates/medlarpoint_membership/src/detector.rs
+++ b/crates/medlarpoint_membership/src/detector.rs
@@ -261,6 +261,7 @@
             Body::Announce { .. }
             | Body::Fresh { .. }
             | Body::Report { .. }
+            | Body::Suspects { .. }
             | Body::Receipt { .. } => {}
         }
         actions
@@ -569,6 +570,7 @@
             records: records.map(|member| member.record.clone()).collect(),
             summaries: self.summaries.take(now, self.options.max_summary_age),
             table_digests: if digests { self.table.digests() } else { Vec::new() },
+            suspects: Vec::new(),
         }
     }
 
--- a/crates/medlarpoint_routing/src/call.rs
+++ b/crates/medlarpoint_routing/src/call.rs
@@ -54,6 +54,9 @@
     fn spend_retry(&mut self) -> bool;
     /// Takes one hedge from the budget and returns whether one was available.
     fn spend_hedge(&mut self) -> bool;
+    /// Returns the time after which the call may run again if targets have crashed under
+    /// it; `None` if it may run now.
+    fn crash_backoff(&mut self, now: Duration) -> Option<Duration>;
     /// Returns an identifier for a new attempt, unique across the fleet.
     fn new_attempt_id(&mut self) -> AttemptId;
 }
@@ -200,6 +203,10 @@
             unresolved: None,
             failure: None,
         };
+        if let Some(retry_after) = selector.crash_backoff(now) {
+            let actions = call.finish_not_run(FailurePoint::CrashBackoff, retry_after);
+            return (call, actions);
+        }
         let actions = match selector.pick(now, &[], &[]) {
             Some(destination) => call.send(now, destination, selector),
             None => call.finish_not_run(FailurePoint::NoTarget, Duration::from_millis(250)),
@@ -284,6 +291,10 @@
                     selector,
                 )
             }
+            // Every other inbound proxy would reject the call as well.
+            AttemptResult::NotRun { point: point @ FailurePoint::CrashBackoff, retry_after } => {
+                self.finish_not_run(point, retry_after)
+            }
             AttemptResult::NotRun { point, retry_after } => {
                 let unavailable =
                     if point == FailurePoint::Busy { &mut self.busy } else { &mut self.excluded };
@@ -415,7 +426,8 @@
         let mut exclude = self.excluded.clone();
         exclude.extend(self.attempts.values().map(|attempt| attempt.destination.vm.clone()));
         let may_deliver = self.delivered + 1 < self.constraints.max_target_attempts;
-        if self.attempts.len() != 1 || !may_deliver || !selector.spend_hedge() {
+        let may_run = selector.crash_backoff(now).is_none();
+        if self.attempts.len() != 1 || !may_deliver || !may_run || !selector.spend_hedge() {
             return Vec::new();
         }
         match selector.pick(now, &exclude, &self.busy) {
@@ -484,6 +496,7 @@
         // ends at once.
         let late = self.constraints.useful_until.is_some_and(|until| now >= until);
         let may_send = may_send && !(late && point == FailurePoint::Refused);
+        let may_send = may_send && selector.crash_backoff(now).is_none();
         // An attempt that reached no target caused no work there, so the retry does
         // not count against the budget.
         let costs_nothing = !point.may_have_reached_target();
--- a/crates/medlarpoint_routing/src/call/tests.rs
+++ b/crates/medlarpoint_routing/src/call/tests.rs
@@ -16,11 +16,13 @@
     vms: Vec<&'static str>,
     retries: u32,
     attempts: u128,
+    /// Time after which the call may run again after crashes.
+    crash_backoff: Option<Duration>,
 }
 
 impl TestSelector {
     fn new(vms: &[&'static str]) -> Self {
-        Self { vms: vms.to_vec(), retries: 10, attempts: 0 }
+        Self { vms: vms.to_vec(), retries: 10, attempts: 0, crash_backoff: None }
     }
 
     fn destination(name: &str) -> Destination {
@@ -52,6 +54,10 @@
         true
     }
 
+    fn crash_backoff(&mut self, _: Duration) -> Option<Duration> {
+        self.crash_backoff
+    }
+
     fn new_attempt_id(&mut self) -> AttemptId {
         self.attempts += 1;
         AttemptId(self.attempts)
@@ -357,3 +363,38 @@
         [Action::Cancel(AttemptId(1)), Action::Finish(CallResult::Response(AttemptId(2)))]
     );
 }
+
+#[test]
+fn a_call_that_crashed_targets_before_is_rejected_at_once() {
+    let mut selector = TestSelector::new(&["a", "b"]);
+    let retry_after = Duration::from_secs(5);
+    selector.crash_backoff = Some(retry_after);
+    let (call, actions) = Call::start(START, constraints(true, false), &mut selector);
+    let result = CallResult::NotRun { point: FailurePoint::CrashBackoff, retry_after };
+    assert_eq!(actions, [Action::Finish(result)]);
+    assert!(call.is_finished());
+}
+
+#[test]
+fn a_call_under_which_a_second_target_crashed_is_not_sent_to_a_third() {
+    let mut selector = TestSelector::new(&["a", "b", "c"]);
+    let mut call = start(constraints(true, false), &mut selector);
+    let crashed = AttemptResult::Unknown(FailurePoint::TargetCrashed);
+    let event = Event::Responded(AttemptId(1), crashed.clone());
+    let actions = call.handle(START, event, &mut selector);
+    assert!(matches!(actions[..], [Action::Send(AttemptId(2), _)]), "{actions:?}");
+    selector.crash_backoff = Some(Duration::from_secs(5));
+    let actions = call.handle(START, Event::Responded(AttemptId(2), crashed), &mut selector);
+    let result = CallResult::Unknown(FailurePoint::TargetCrashed);
+    assert_eq!(actions, [Action::Finish(result)]);
+}
+
+#[test]
+fn a_call_that_an_inbound_proxy_rejects_for_its_crashes_is_not_sent_elsewhere() {
+    let mut selector = TestSelector::new(&["a", "b"]);
+    let mut call = start(constraints(true, false), &mut selector);
+    let (point, retry_after) = (FailurePoint::CrashBackoff, Duration::from_secs(50));
+    let result = AttemptResult::NotRun { point, retry_after };
+    let actions = call.handle(START, Event::Responded(AttemptId(1), result), &mut selector);
+    assert_eq!(actions, [Action::Finish(CallResult::NotRun { point, retry_after })]);
+}
--- a/crates/medlarpoint_routing/src/lib.rs
+++ b/crates/medlarpoint_routing/src/lib.rs
@@ -27,6 +27,7 @@
 mod route_table;
 mod scheduler;
 mod service_times;
+mod suspects;
 mod target_limit;
 mod target_run;
 mod wait_estimator;
@@ -51,5 +52,6 @@
 pub use request_link::RequestLink;
 pub use route_table::{ResolvedRoute, RouteTable};
 pub use scheduler::{Admission, Decision, Load, Rejection, Scheduler, Ticket};
-pub use target_run::{RunEnd, TargetRun};
+pub use suspects::{InvalidReport, Report as SuspectReport, Suspects, Suspicion, Verdict};
+pub use target_run::{RunEnd, RunningCall, TargetRun};
 pub use wait_estimator::WaitEstimator;
--- a/crates/medlarpoint_routing/src/outcome.rs
+++ b/crates/medlarpoint_routing/src/outcome.rs
@@ -80,8 +80,12 @@
     TargetFailed,
     /// The target sent a response that does not belong to the call.
     TargetGarbled,
-    /// The target was lost after bytes were handed over.
+    /// The connection to the target was lost after bytes were handed over.
     TargetLost,
+    /// The process of the target ended while it ran the call.
+    TargetCrashed,
+    /// Targets have crashed under the same call, which may run again later.
+    CrashBackoff,
     /// The idempotency key could not be claimed.
     ClaimFailed,
     /// The key is claimed by an inbound proxy that no longer exists.
@@ -104,12 +108,14 @@
             | Self::Restarted
             | Self::TargetConnect
             | Self::TargetShed
+            | Self::CrashBackoff
             | Self::ClaimFailed => Outcome::NotRun,
             Self::HalfAnswer | Self::TargetFailed => Outcome::Ran,
             Self::Sent
             | Self::Silent
             | Self::TargetGarbled
             | Self::TargetLost
+            | Self::TargetCrashed
             | Self::ClaimOrphaned
             | Self::CallerBody
             | Self::Deadline => Outcome::Unknown,
@@ -126,6 +132,7 @@
             | Self::Fenced
             | Self::Restarted
             | Self::TargetConnect
+            | Self::CrashBackoff
             | Self::ClaimFailed => false,
             Self::Sent
             | Self::Silent
@@ -134,6 +141,7 @@
             | Self::TargetFailed
             | Self::TargetGarbled
             | Self::TargetLost
+            | Self::TargetCrashed
             | Self::ClaimOrphaned
             | Self::CallerBody
             | Self::Deadline => true,
@@ -152,8 +160,11 @@
             | Self::TargetShed
             | Self::ClaimFailed => Retry::Allowed,
             Self::Sent | Self::Silent => Retry::AfterQuery,
-            Self::TargetLost | Self::TargetFailed | Self::TargetGarbled => Retry::IfRepeatable,
+            Self::TargetLost | Self::TargetCrashed | Self::TargetFailed | Self::TargetGarbled => {
+                Retry::IfRepeatable
+            }
             Self::NoTarget
+            | Self::CrashBackoff
             | Self::HalfAnswer
             | Self::ClaimOrphaned
             | Self::CallerBody
@@ -182,6 +193,10 @@
             Self::TargetFailed => "the target ran it and responded with a failure",
             Self::TargetGarbled => "the response does not belong to this call",
             Self::TargetLost => "the target may have acted before it was lost",
+            Self::TargetCrashed => "the target may have acted before its process ended",
+            Self::CrashBackoff => {
+                "targets have crashed under this call; the response says when it may run again"
+            }
             Self::ClaimFailed => "nothing is handed over without the claim",
             Self::ClaimOrphaned => "the holder of the claim may have run it before it stopped",
             Self::CallerBody => "the target may have acted on the part it received",
--- a/crates/medlarpoint_routing/src/target_run.rs
+++ b/crates/medlarpoint_routing/src/target_run.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 use medlarpoint_model::Fingerprint;
 
-use crate::AttemptId;
+use crate::{AttemptId, Suspicion};
 
 /// Time for which a call whose connection broke may still be the cause of the end of a
 /// process that answers other calls.
@@ -16,10 +16,19 @@
 /// Limit on the calls without a response that are kept.
 const MAX_UNANSWERED: usize = 64;
 
+/// A call that a process has begun to run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RunningCall {
+    /// Identity of the call.
+    pub fingerprint: Fingerprint,
+    /// What was known about it when the run began.
+    pub known: Suspicion,
+}
+
 /// A call whose connection broke, or whose sender left, before a response.
 #[derive(Clone, Copy, Debug)]
 struct Unanswered {
-    fingerprint: Fingerprint,
+    call: RunningCall,
     since: Duration,
 }
 
@@ -27,9 +36,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RunEnd {
     /// Calls that the process had begun and not answered.
-    pub calls: Vec<Fingerprint>,
-    /// Whether the process had answered any call. One that ends before it has may be
-    /// unable to run any.
+    pub calls: Vec<RunningCall>,
+    /// Whether the target had answered any call since it was last replaced. One that has
+    /// not may be unable to run any.
     pub had_answered: bool,
 }
 
@@ -38,9 +47,11 @@
 pub struct TargetRun {
     /// Number of runs that have ended.
     number: u64,
-    running: IndexMap<AttemptId, Fingerprint>,
+    running: IndexMap<AttemptId, RunningCall>,
     unanswered: Vec<Unanswered>,
     answered_at: Option<Duration>,
+    /// Whether this process, or an earlier one that it restarted after, has answered a call.
+    has_answered: bool,
 }
 
 impl TargetRun {
@@ -50,28 +61,27 @@
     }
 
     /// Records that a call is handed over.
-    pub fn begin(&mut self, attempt: AttemptId, fingerprint: Fingerprint) {
-        self.running.insert(attempt, fingerprint);
+    pub fn begin(&mut self, attempt: AttemptId, call: RunningCall) {
+        self.running.insert(attempt, call);
     }
 
-    /// Records that the process has answered a call. Returns whether it ran in this run.
-    pub fn answer(&mut self, now: Duration, attempt: AttemptId) -> bool {
-        let is_current = self.running.swap_remove(&attempt).is_some();
-        if is_current {
+    /// Records that the process has answered a call.
+    pub fn answer(&mut self, now: Duration, attempt: AttemptId) {
+        if self.running.swap_remove(&attempt).is_some() {
             self.answered_at = Some(now);
+            self.has_answered = true;
         }
-        is_current
     }
 
     /// Records that no response to a call will arrive, though the process may run it.
     pub fn abandon(&mut self, now: Duration, attempt: AttemptId) {
-        let Some(fingerprint) = self.running.swap_remove(&attempt) else {
+        let Some(call) = self.running.swap_remove(&attempt) else {
             return;
         };
         if self.unanswered.len() >= MAX_UNANSWERED {
             self.unanswered.remove(0);
         }
-        self.unanswered.push(Unanswered { fingerprint, since: now });
+        self.unanswered.push(Unanswered { call, since: now });
     }
 
     /// Records that a call was not run after all.
@@ -79,6 +89,11 @@
         self.running.swap_remove(&attempt);
     }
 
+    /// Records that the target was replaced by another, perhaps of another release.
+    pub fn replace(&mut self) {
+        *self = Self { number: self.number + 1, ..Self::default() };
+    }
+
     /// Ends the run with this number. Returns what it was running, or `None` if it has
     /// ended before.
     pub fn end(&mut self, now: Duration, number: u64) -> Option<RunEnd> {
@@ -87,16 +102,19 @@
         }
         let ended = std::mem::take(self);
         self.number = number + 1;
-        let is_suspect = |call: &&Unanswered| {
-            let answered_since = ended.answered_at.is_some_and(|at| at >= call.since);
-            !answered_since || now.saturating_sub(call.since) < SUSPECT_TIME
+        self.has_answered = ended.has_answered;
+        let is_suspect = |unanswered: &&Unanswered| {
+            let since = unanswered.since;
+            let answered_since = ended.answered_at.is_some_and(|at| at >= since);
+            !answered_since || now.saturating_sub(since) < SUSPECT_TIME
         };
-        let unanswered = ended.unanswered.iter().filter(is_suspect).map(|call| call.fingerprint);
-        let mut calls: Vec<Fingerprint> = ended.running.values().copied().collect();
+        let unanswered =
+            ended.unanswered.iter().filter(is_suspect).map(|unanswered| unanswered.call);
+        let mut calls: Vec<RunningCall> = ended.running.values().copied().collect();
         calls.extend(unanswered);
         calls.sort_unstable();
         calls.dedup();
-        Some(RunEnd { calls, had_answered: ended.answered_at.is_some() })
+        Some(RunEnd { calls, had_answered: ended.has_answered })
     }
 }
 
--- a/crates/medlarpoint_routing/src/target_run/tests.rs
+++ b/crates/medlarpoint_routing/src/target_run/tests.rs
@@ -5,17 +5,21 @@
 const NOW: Duration = Duration::from_secs(100);
 const LATER: Duration = Duration::from_secs(110);
 
+fn call(number: u128) -> RunningCall {
+    RunningCall { fingerprint: Fingerprint(number), known: Suspicion::default() }
+}
+
 fn run_with(calls: &[u128]) -> TargetRun {
     let mut run = TargetRun::default();
-    for call in calls {
-        run.begin(AttemptId(*call), Fingerprint(*call));
+    for number in calls {
+        run.begin(AttemptId(*number), call(*number));
     }
     run
 }
 
 fn suspects(run: &mut TargetRun, now: Duration) -> Vec<u128> {
     let end = run.end(now, run.number()).unwrap();
-    end.calls.into_iter().map(|call| call.0).collect()
+    end.calls.into_iter().map(|call| call.fingerprint.0).collect()
 }
 
 #[test]
@@ -30,8 +34,8 @@
     let mut run = run_with(&[1]);
     assert!(run.end(NOW, 0).is_some());
     assert_eq!(run.end(NOW, 0), None);
-    run.begin(AttemptId(2), Fingerprint(2));
-    assert!(!run.answer(NOW, AttemptId(1)));
+    run.begin(AttemptId(2), call(2));
+    run.answer(NOW, AttemptId(1));
     assert_eq!(suspects(&mut run, NOW), [2]);
 }
 
@@ -53,11 +57,14 @@
 }
 
 #[test]
-fn a_process_that_ends_before_its_first_response_is_marked() {
+fn a_target_that_has_answered_no_call_since_it_was_replaced_is_marked() {
     let mut run = run_with(&[1, 2]);
     assert!(!run.clone().end(NOW, 0).unwrap().had_answered);
     run.answer(NOW, AttemptId(1));
     assert!(run.end(NOW, 0).unwrap().had_answered);
+    assert!(run.end(NOW, 1).unwrap().had_answered, "it has only restarted");
+    run.replace();
+    assert!(!run.end(NOW, 3).unwrap().had_answered);
 }
 
 #[test]
--- a/crates/medlarpoint_wire/src/datagram.rs
+++ b/crates/medlarpoint_wire/src/datagram.rs
@@ -3,7 +3,7 @@
 use medlarpoint_model::{Version, Vm};
 use serde::{Deserialize, Serialize};
 
-use crate::{BootId, DataCentreSummary, Record, TableDigest, Tip};
+use crate::{BootId, DataCentreSummary, Record, Suspect, TableDigest, Tip};
 
 /// State that is piggybacked on probes and their acknowledgements.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -20,6 +20,9 @@
     /// Digests of the sender's member table, one per data centre.
     #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
     pub table_digests: Vec<TableDigest>,
+    /// A few of the calls under which targets have crashed.
+    #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+    pub suspects: Vec<Suspect>,
 }
 
 /// Content of a datagram.
@@ -97,6 +100,16 @@
         #[serde(rename = "m")]
         at_ms: u64,
     },
+    /// Propagates that targets have crashed under calls, or that such calls were answered.
+    #[serde(rename = "x")]
+    Suspects {
+        /// VM of the daemon that broadcasts this.
+        #[serde(rename = "o")]
+        origin: Vm,
+        /// What it knows about the calls.
+        #[serde(rename = "s")]
+        suspects: Vec<Suspect>,
+    },
     /// Acknowledges a [`Body::Report`].
     #[serde(rename = "k")]
     Receipt {
--- a/crates/medlarpoint_wire/src/frame/tests.rs
+++ b/crates/medlarpoint_wire/src/frame/tests.rs
@@ -1,11 +1,13 @@
 //! Tests of [`super`]: neighbouring releases, other fleets and random bytes.
 
-use medlarpoint_model::{Name, Version, Vm};
+use medlarpoint_model::{Fingerprint, Name, Version, Vm};
 use proptest::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use super::{DecodeError, Frame, PROTOCOL_VERSION, decode, encode};
-use crate::{Body, Gossip, PullRequest, PullResponse, Record, SyncRequest, SyncResponse, Tip};
+use super::{DecodeError, Frame, MAX_DATAGRAM_BYTES, PROTOCOL_VERSION, decode, encode};
+use crate::{
+    Body, Gossip, PullRequest, PullResponse, Record, Suspect, SyncRequest, SyncResponse, Tip,
+};
 
 fn fleet() -> Name {
     "fleet".parse().unwrap()
@@ -25,6 +27,22 @@
     assert_eq!(Frame::decode(&bytes, &fleet()).unwrap(), frame(PROTOCOL_VERSION));
 }
 
+#[test]
+fn a_broadcast_of_many_crashes_fits_into_a_datagram() {
+    let suspect = Suspect {
+        call: Fingerprint(u128::MAX),
+        acquittals: 200_000,
+        crashes: 200_000,
+        age_ms: 2_000_000_000,
+    };
+    let origin = Vm("a-rather-long-name-of-a-vm-in-some-data-centre-17".parse().unwrap());
+    let body = Body::Suspects { origin: origin.clone(), suspects: vec![suspect; 24] };
+    let sent = Frame { protocol: PROTOCOL_VERSION, fleet: fleet(), from: origin, body };
+    let bytes = encode(&sent).unwrap();
+    assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{} bytes", bytes.len());
+    assert_eq!(Frame::decode(&bytes, &fleet()).unwrap(), sent);
+}
+
 /// Frame as a later release may send it, with an additional field.
 #[derive(Serialize, Deserialize)]
 struct LaterFrame {
--- a/crates/medlarpoint_wire/src/lib.rs
+++ b/crates/medlarpoint_wire/src/lib.rs
@@ -8,6 +8,7 @@
 mod frame;
 mod record;
 mod summary;
+mod suspect;
 mod sync;
 
 pub use config::{PullRequest, PullResponse, Tip};
@@ -17,4 +18,5 @@
 };
 pub use record::{Announcement, BootId, Incarnation, LatencyBucket, Readiness, Record, Status};
 pub use summary::{DataCentreSummary, Laggard};
+pub use suspect::Suspect;
 pub use sync::{RecordVersion, SyncRequest, SyncResponse, TableDigest};
