--- a/crates/medlarpoint_daemon/src/target.rs
+++ b/crates/medlarpoint_daemon/src/target.rs
@@ -222,7 +222,7 @@
         intake.set_draining(draining || shared.lifecycle.shutdown().is_some());
         intake.scheduler_mut().set_slots(if draining { state.slots } else { usable }, now);
         // Queued calls are rejected so that another target serves them.
-        if draining { intake.reject_queued(now) } else { Vec::new() }
+        if draining || usable == 0 { intake.reject_queued(now) } else { Vec::new() }
     };
     inbound::perform(shared, actions);
     let readiness =
--- a/crates/medlarpoint_daemon/src/target_end.rs
+++ b/crates/medlarpoint_daemon/src/target_end.rs
@@ -1,6 +1,7 @@
 //! Tells the end of the target's process from a broken connection.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use medlarpoint_model::Fingerprint;
@@ -93,6 +94,7 @@
             return false;
         }
         record_end(shared, target, self.run);
+        take_out_of_service(shared, target);
         true
     }
 }
@@ -143,6 +145,20 @@
     target.is_leaving() || target.readiness == Readiness::Draining
 }
 
+/// Hands over no more calls to a target that refuses connections. The change is announced
+/// with the next sweep, which also rejects the calls that wait for the target.
+fn take_out_of_service(shared: &Shared, target: &TargetState) {
+    let was_up = {
+        let mut current = lock(&shared.target);
+        let current = current.as_mut().filter(|current| current.is_same_process(target));
+        current.is_some_and(|current| !std::mem::replace(&mut current.down, true))
+    };
+    if was_up {
+        shared.target_changed.store(true, Ordering::Release);
+        shared.emit(&Event::TargetDown { address: target.address });
+    }
+}
+
 fn log_end(shared: &Shared, target: &TargetState, end: &RunEnd) {
     let instance = target.instance.as_ref().map(|known| known.report().instance.to_string());
     let named = end.calls.iter().take(MAX_LOGGED_CALLS);
