--- a/crates/medlarpoint_bench/src/fuzz/calls.rs
+++ b/crates/medlarpoint_bench/src/fuzz/calls.rs
@@ -331,6 +331,7 @@
             },
             useful_until: None,
             may_spill: false,
+            suspect: false,
             deadline: Duration::ZERO,
             key,
             idempotency: Idempotency::Store,
--- a/crates/medlarpoint_daemon/src/inbound.rs
+++ b/crates/medlarpoint_daemon/src/inbound.rs
@@ -12,7 +12,7 @@
 use medlarpoint_platform::call;
 use medlarpoint_routing::{
     AttemptId, AttemptInfo, AttemptStatus, Completion, FailurePoint, IdempotencyKey, IntakeAction,
-    Load, Outcome, Reply,
+    Load, Outcome, Reply, SuspectReport, Suspicion,
 };
 use medlarpoint_wire::Readiness;
 use tokio::sync::oneshot;
@@ -285,12 +285,22 @@
         body_bytes,
         useful_until: useful_until(headers, now),
         may_spill: headers.contains_key(&header::SPILL),
+        suspect: is_suspect(shared, headers),
         deadline: now + time_left,
         key,
         idempotency,
     })
 }
 
+/// Returns whether targets have crashed under a call, as this daemon or the sender knows.
+fn is_suspect(shared: &Shared, headers: &HeaderMap) -> bool {
+    let told = header::parse::<SuspectReport>(headers, &header::SUSPICION);
+    let call = header::parse(headers, &header::FINGERPRINT);
+    let known = call.map(|call| lock(&shared.suspects).suspicion(call));
+    let told = told.map(|report| report.suspicion);
+    told.max(known).is_some_and(Suspicion::is_suspect)
+}
+
 /// Returns the time until which the response is of full use to the caller.
 fn useful_until(headers: &HeaderMap, now: Duration) -> Option<Duration> {
     Some(now + header::millis(headers, &header::USEFUL_MS)?)
--- a/crates/medlarpoint_routing/src/attempt.rs
+++ b/crates/medlarpoint_routing/src/attempt.rs
@@ -80,6 +80,8 @@
     pub may_spill: bool,
     /// Time on the local clock at which the caller stops waiting.
     pub deadline: Duration,
+    /// Whether targets have crashed under the call.
+    pub suspect: bool,
     /// Idempotency key of a call that may not be repeated.
     pub key: Option<IdempotencyKey>,
     /// Mechanism that keeps the key from running twice.
--- a/crates/medlarpoint_routing/src/forecast/tests.rs
+++ b/crates/medlarpoint_routing/src/forecast/tests.rs
@@ -27,6 +27,7 @@
         body_bytes: 0,
         useful_until: Some(NOW + Duration::from_millis(useful_ms)),
         may_spill: false,
+        suspect: false,
         arrived: NOW,
         deadline: NOW + Duration::from_secs(5),
     }
--- a/crates/medlarpoint_routing/src/intake.rs
+++ b/crates/medlarpoint_routing/src/intake.rs
@@ -500,6 +500,9 @@
     }
 
     fn release_slot(&mut self, now: Duration, pending: &PendingAttempt) -> Vec<Action<A>> {
+        if pending.info.suspect {
+            self.scheduler.on_suspect_ended();
+        }
         let took = match pending.phase {
             Phase::Running { since } => Some(now.saturating_sub(since)),
             Phase::Queued | Phase::Receiving { .. } | Phase::Claiming => None,
@@ -521,6 +524,7 @@
         rank: info.rank,
         useful_until: info.useful_until,
         may_spill: info.may_spill,
+        suspect: info.suspect,
         arrived: now,
         deadline: info.deadline,
     }
--- a/crates/medlarpoint_routing/src/intake/tests.rs
+++ b/crates/medlarpoint_routing/src/intake/tests.rs
@@ -36,6 +36,7 @@
         route: "k".parse().expect("a valid literal"),
         useful_until: None,
         may_spill: false,
+        suspect: false,
         deadline: NOW + Duration::from_secs(4),
         key,
         idempotency: Idempotency::Store,
--- a/crates/medlarpoint_routing/src/priority/tests.rs
+++ b/crates/medlarpoint_routing/src/priority/tests.rs
@@ -18,6 +18,7 @@
         body_bytes: 0,
         useful_until: None,
         may_spill: false,
+        suspect: false,
         arrived: Duration::ZERO,
         deadline: Duration::from_secs(1),
     }
--- a/crates/medlarpoint_routing/src/scheduler.rs
+++ b/crates/medlarpoint_routing/src/scheduler.rs
@@ -43,6 +43,9 @@
     /// Whether the call may be rejected as [`Rejection::Busy`] so that another
     /// target serves it in time.
     pub may_spill: bool,
+    /// Whether the call may crash the target. One such call runs at a time, so that a crash
+    /// tells which of them it was.
+    pub suspect: bool,
     /// Time of arrival, on the local clock.
     pub arrived: Duration,
     /// Time by which the response must be sent, on the local clock.
@@ -140,6 +143,8 @@
     request_link: RequestLink,
     /// Limit on the calls per second that the target has named.
     target_limit: TargetLimit,
+    /// Whether a call that may crash the target runs.
+    suspect_running: bool,
 }
 
 impl Scheduler {
@@ -149,7 +154,17 @@
         let (short, long) = (ClassState::default(), ClassState::default());
         let (link, request_link) = (Link::default(), RequestLink::default());
         let target_limit = TargetLimit::default();
-        Self { slots, policy, ramp_start: now, short, long, link, request_link, target_limit }
+        Self {
+            slots,
+            policy,
+            ramp_start: now,
+            short,
+            long,
+            link,
+            request_link,
+            target_limit,
+            suspect_running: false,
+        }
     }
 
     /// Replaces the link over which responses are sent.
@@ -226,7 +241,7 @@
             }
             // A slot is free and no call waits for it.
             self.class_state_mut(class).late_starved = false;
-            self.start(now, class, &ticket.route);
+            self.start(now, &ticket);
             return (Admission::Run, None);
         }
         let retry_after = self.retry_after(now, usable, &ticket);
@@ -304,6 +319,12 @@
         self.fill_slots(now)
     }
 
+    /// Records that the call that may crash the target has ended; its slot is released
+    /// next.
+    pub(crate) fn on_suspect_ended(&mut self) {
+        self.suspect_running = false;
+    }
+
     /// Removes a call from the queue and returns whether it was queued.
     pub fn remove(&mut self, attempt: AttemptId) -> bool {
         self.short.queue.remove(attempt).or_else(|| self.long.queue.remove(attempt)).is_some()
@@ -374,7 +395,10 @@
                 Class::Long => (&mut self.long, &self.link),
             };
             let forecast = Forecast { now, service_times: &state.service_times, link };
-            let eligible = |ticket: &Ticket| !link.blocks(now, &ticket.route);
+            let suspect_running = self.suspect_running;
+            let eligible = |ticket: &Ticket| {
+                !link.blocks(now, &ticket.route) && !(ticket.suspect && suspect_running)
+            };
             let in_time = |ticket: &Ticket| forecast.is_in_time(ticket, Position::default());
             let Some(ticket) = state.queue.pop(eligible, in_time) else {
                 break;
@@ -387,7 +411,7 @@
             if !in_time(&ticket) {
                 state.late_starved = false;
             }
-            self.start(now, class, &ticket.route);
+            self.start(now, &ticket);
             decisions.push(Decision::Run(ticket.attempt));
         }
         decisions
@@ -400,22 +424,28 @@
         Some(Decision::Rejected(attempt, Rejection::TooLate, retry_after))
     }
 
-    fn start(&mut self, now: Duration, class: Class, route: &Name) {
+    fn start(&mut self, now: Duration, ticket: &Ticket) {
         self.target_limit.on_start(now);
-        self.link.call_started(route);
-        self.class_state_mut(class).running += 1;
+        self.link.call_started(&ticket.route);
+        self.class_state_mut(ticket.class).running += 1;
+        self.suspect_running |= ticket.suspect;
+    }
+
+    /// Returns whether a call has to wait although a slot may be free.
+    fn blocks(&self, now: Duration, ticket: &Ticket) -> bool {
+        self.link.blocks(now, &ticket.route) || (ticket.suspect && self.suspect_running)
     }
 
-    /// Returns whether the link has room for a new call and no queued call of its
-    /// class could run instead.
+    /// Returns whether nothing but a slot is missing for a new call and no queued call of
+    /// its class could run instead.
     fn is_next(&self, now: Duration, ticket: &Ticket) -> bool {
-        !self.link.blocks(now, &ticket.route) && !self.has_eligible(now, ticket.class)
+        !self.blocks(now, ticket) && !self.has_eligible(now, ticket.class)
     }
 
-    /// Returns whether a call is queued that the link has room for.
+    /// Returns whether a call is queued that misses nothing but a slot.
     fn has_eligible(&self, now: Duration, class: Class) -> bool {
         let queue = &self.class_state(class).queue;
-        queue.any(|waiting| !self.link.blocks(now, &waiting.route))
+        queue.any(|waiting| !self.blocks(now, waiting))
     }
 
     /// Returns the class that gets the next slot. Short calls go first, but one
--- a/crates/medlarpoint_routing/src/scheduler/tests.rs
+++ b/crates/medlarpoint_routing/src/scheduler/tests.rs
@@ -31,6 +31,7 @@
         body_bytes: 0,
         useful_until: None,
         may_spill: false,
+        suspect: false,
         arrived: NOW,
         deadline: NOW + Duration::from_millis(deadline_ms),
     }
@@ -332,3 +333,18 @@
     let late = Ticket { arrived: now, deadline, ..due(50_000, 0) };
     assert_eq!(scheduler.arrive(now, late).0, Admission::Queued);
 }
+
+/// Guards against calls that ran beside a fatal one being held responsible for the next
+/// crash as well: while one suspect runs, others wait and innocent calls pass.
+#[test]
+fn one_suspect_runs_at_a_time() {
+    let mut scheduler = scheduler(4);
+    let suspect = |id| Ticket { suspect: true, ..ticket(id, Class::Short, 1_000) };
+    assert_eq!(scheduler.arrive(NOW, suspect(1)).0, Admission::Run);
+    assert_eq!(scheduler.arrive(NOW, suspect(2)).0, Admission::Queued);
+    assert_eq!(scheduler.arrive(NOW, ticket(3, Class::Short, 1_000)).0, Admission::Run);
+    assert!(scheduler.release(NOW, Class::Short, &route(), None).is_empty());
+    scheduler.on_suspect_ended();
+    assert_eq!(scheduler.release(NOW, Class::Short, &route(), None), [Decision::Run(AttemptId(2))]);
+    assert_eq!(scheduler.arrive(NOW, suspect(4)).0, Admission::Queued);
+}
--- a/crates/medlarpoint_routing/tests/named_limit.rs
+++ b/crates/medlarpoint_routing/tests/named_limit.rs
@@ -66,6 +66,7 @@
             body_bytes: 0,
             useful_until: Some(now + Duration::from_millis(500)),
             may_spill: false,
+            suspect: false,
             arrived: now,
             deadline: now + Duration::from_millis(1_500),
         };
--- a/crates/medlarpoint_routing/tests/narrow_link.rs
+++ b/crates/medlarpoint_routing/tests/narrow_link.rs
@@ -145,6 +145,7 @@
             body_bytes,
             useful_until: Some(self.now + useful),
             may_spill: true,
+            suspect: false,
             arrived: self.now,
             deadline: self.now + TIMEOUT,
         }
--- a/crates/medlarpoint_routing/tests/scheduler.rs
+++ b/crates/medlarpoint_routing/tests/scheduler.rs
@@ -68,6 +68,7 @@
                 .random_bool(0.7)
                 .then(|| self.now + Duration::from_millis(self.rng.random_range(50..1_500))),
             may_spill: self.rng.random_bool(0.3),
+            suspect: false,
             arrived: self.now,
             deadline: self.now + Duration::from_millis(self.rng.random_range(100..4_000)),
         }
