--- a/crates/medlarpoint_routing/src/scheduler.rs
+++ b/crates/medlarpoint_routing/src/scheduler.rs
@@ -396,9 +396,10 @@
             };
             let forecast = Forecast { now, service_times: &state.service_times, link };
             let suspect_running = self.suspect_running;
-            let eligible = |ticket: &Ticket| {
-                !link.blocks(now, &ticket.route) && !(ticket.suspect && suspect_running)
+            let blocked = |ticket: &Ticket| {
+                link.blocks(now, &ticket.route) || (ticket.suspect && suspect_running)
             };
+            let eligible = |ticket: &Ticket| !blocked(ticket);
             let in_time = |ticket: &Ticket| forecast.is_in_time(ticket, Position::default());
             let Some(ticket) = state.queue.pop(eligible, in_time) else {
                 break;
