--- a/crates/medlarpoint_routing/tests/query_of_death.rs
+++ b/crates/medlarpoint_routing/tests/query_of_death.rs
@@ -217,7 +217,7 @@
         while self.now < LENGTH {
             self.deliver();
             self.complete();
-            if self.now.as_millis() % GOSSIP_INTERVAL.as_millis() == 0 {
+            if self.now.as_millis().is_multiple_of(GOSSIP_INTERVAL.as_millis()) {
                 self.gossip();
             }
             if self.now == Duration::from_secs(20) {
@@ -227,7 +227,7 @@
             if self.now == Duration::from_secs(40) {
                 self.lose_all_targets();
             }
-            let fatal_due = self.now.as_millis() % FATAL_INTERVAL.as_millis() == 0;
+            let fatal_due = self.now.as_millis().is_multiple_of(FATAL_INTERVAL.as_millis());
             if fatal_due && self.now >= Duration::from_secs(1) {
                 let daemon = self.rng.random_range(0..DAEMONS);
                 self.send(FATAL, daemon, 1);
@@ -281,7 +281,7 @@
     while model.now < Duration::from_secs(20) {
         model.daemons = vec![Suspects::default(); DAEMONS];
         model.complete();
-        if model.now.as_millis() % FATAL_INTERVAL.as_millis() == 0 {
+        if model.now.as_millis().is_multiple_of(FATAL_INTERVAL.as_millis()) {
             model.send(FATAL, 0, 1);
         }
         crashes = model.crashes.len();
