--- a/crates/medlarpoint_bench/src/soak/caller.rs
+++ b/crates/medlarpoint_bench/src/soak/caller.rs
@@ -20,6 +20,9 @@
 /// Size of a large response, in bytes.
 const LARGE_RESPONSE_BYTES: usize = 60_000;
 
+/// Pause between two calls that crash their targets.
+const FATAL_PAUSE: Duration = Duration::from_millis(250);
+
 /// Operation that a caller requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Operation {
@@ -31,6 +34,8 @@
     KeyedOrder,
     /// An order without an idempotency key.
     Order,
+    /// A lookup that crashes each target that runs it.
+    FatalLookup,
 }
 
 /// Outcome of a call, as its caller observed it.
@@ -43,6 +48,8 @@
     },
     /// The call did not run.
     NotRun,
+    /// The call did not run, because targets have crashed under it.
+    BackedOff,
     /// The call may have run.
     Unknown,
     /// No response: the connection could not be opened, or it broke.
@@ -97,6 +104,21 @@
         }
     }
 
+    /// Sends a call that crashes its targets to one VM after another until `stop` is set.
+    pub(crate) async fn run_fatal(self, seed: u64) {
+        let http = HttpClient::new(RESPONSE_TIMEOUT);
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut count = 0;
+        while !self.stop.load(Ordering::Acquire) {
+            let vm = rng.random_range(0..self.addresses.len());
+            let id = format!("fatal-{seed}-{count}");
+            count += 1;
+            let record = self.call(&http, vm, Operation::FatalLookup, id).await;
+            self.records.lock().unwrap_or_else(PoisonError::into_inner).push(record);
+            tokio::time::sleep(FATAL_PAUSE).await;
+        }
+    }
+
     /// Makes one call. A keyed order whose outcome is unclear is sent again, to
     /// the next VM.
     pub(crate) async fn call(
@@ -130,6 +152,7 @@
 fn request(address: SocketAddr, operation: Operation, id: &str) -> Option<Request<Full<Bytes>>> {
     let (method, host, path) = match operation {
         Operation::Lookup => (Method::GET, "archive.talskrivarna", "/lookup"),
+        Operation::FatalLookup => (Method::GET, "archive.talskrivarna", "/lookup?crash"),
         Operation::LargeLookup => (Method::GET, "delivery.talskrivarna", "/packs/1"),
         Operation::KeyedOrder | Operation::Order => {
             (Method::POST, "orders.talskrivarna", "/orders")
@@ -157,6 +180,10 @@
     if response.status().is_success() {
         return Outcome::Responded { correct: is_correct(operation, id, response.body()) };
     }
+    let point = response.headers().get("medlarpoint-point");
+    if point.is_some_and(|value| value == "crash-backoff") {
+        return Outcome::BackedOff;
+    }
     let header = response.headers().get("medlarpoint-outcome");
     if header.is_some_and(|value| value == "not-run") { Outcome::NotRun } else { Outcome::Unknown }
 }
@@ -167,7 +194,9 @@
     let named = text.split_whitespace().nth(1) == Some(id);
     let complete = match operation {
         Operation::LargeLookup => body.len() == LARGE_RESPONSE_BYTES,
-        Operation::Lookup | Operation::KeyedOrder | Operation::Order => text.ends_with('\n'),
+        Operation::Lookup | Operation::KeyedOrder | Operation::Order | Operation::FatalLookup => {
+            text.ends_with('\n')
+        }
     };
     named && complete
 }
--- a/crates/medlarpoint_bench/src/soak/checker.rs
+++ b/crates/medlarpoint_bench/src/soak/checker.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use super::caller::{CallRecord, Operation, Outcome};
+pub(crate) use fatal::FatalRun;
 
 /// Limit on the time until a change is in force on a running daemon.
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(9);
@@ -29,6 +30,8 @@
     Stopped,
     /// The link from the callers to the daemon was disturbed.
     Callers,
+    /// The link from the daemon to its target was disturbed.
+    Target,
 }
 
 /// A period in which a VM was unreachable for callers, or its daemon did not run.
@@ -64,6 +67,8 @@
     pub(crate) outages: Vec<Outage>,
     pub(crate) samples: Vec<Sample>,
     pub(crate) changes: Vec<Change>,
+    /// Executions of calls that crash their targets.
+    pub(crate) fatal_runs: Vec<FatalRun>,
     /// VMs whose daemon did not shut down gracefully when signalled to stop.
     pub(crate) unclean_stops: Vec<usize>,
     /// Time that recovery took; `None` if the fleet did not recover.
@@ -128,6 +133,17 @@
         /// Number of the VM.
         vm: usize,
     },
+    /// A call that crashes no target was rejected as one that does.
+    ShutOut {
+        /// Id of the call.
+        id: String,
+    },
+    /// A call that crashes its targets was handed over more often than allowed once its
+    /// crashes were known.
+    CrashedAgain {
+        /// Number of executions.
+        runs: usize,
+    },
     /// Not everything was served again within the limit.
     NotRecovered,
 }
@@ -151,7 +167,7 @@
         for call in calls {
             match call.outcome {
                 Outcome::Responded { .. } => counts.answered += 1,
-                Outcome::NotRun => counts.not_run += 1,
+                Outcome::NotRun | Outcome::BackedOff => counts.not_run += 1,
                 Outcome::Unknown => counts.unknown += 1,
                 Outcome::Failed(_) => counts.broken += 1,
             }
@@ -164,6 +180,7 @@
 pub(crate) fn check(observations: &Observations) -> Vec<Violation> {
     let mut violations: Vec<Violation> =
         observations.calls.iter().flat_map(|call| check_call(observations, call)).collect();
+    violations.extend(fatal::check(observations));
     violations.extend(check_versions(&observations.samples));
     violations
         .extend(observations.changes.iter().flat_map(|change| check_change(observations, change)));
@@ -188,7 +205,7 @@
             violations.push(Violation::MadeUp { id });
         }
         // For a call that was sent again, "not run" covers the last attempt only.
-        Outcome::NotRun if runs > 0 && !call.resent => {
+        Outcome::NotRun | Outcome::BackedOff if runs > 0 && !call.resent => {
             violations.push(Violation::FalseNotRun { id });
         }
         Outcome::Failed(reason) if !call.resent && !is_excused(observations, call) => {
@@ -200,7 +217,14 @@
                 reason: reason.clone(),
             });
         }
-        Outcome::Responded { .. } | Outcome::NotRun | Outcome::Unknown | Outcome::Failed(_) => {}
+        Outcome::BackedOff if call.operation != Operation::FatalLookup => {
+            violations.push(Violation::ShutOut { id });
+        }
+        Outcome::Responded { .. }
+        | Outcome::NotRun
+        | Outcome::BackedOff
+        | Outcome::Unknown
+        | Outcome::Failed(_) => {}
     }
     violations
 }
@@ -212,6 +236,7 @@
             // Calls sent before that get a response before the process ends.
             Cause::Stopped => (call.sent_at, outage.from.saturating_sub(CLOSE_RACE)),
             Cause::Process | Cause::Callers => (call.ended_at, outage.from),
+            Cause::Target => return false,
         };
         time >= from && call.sent_at <= outage.until + DETECTION_TIME
     })
@@ -243,7 +268,7 @@
 fn was_down(observations: &Observations, vm: usize, from: Duration, until: Duration) -> bool {
     observations.outages.iter().any(|outage| {
         outage.vm == vm
-            && outage.cause != Cause::Callers
+            && !matches!(outage.cause, Cause::Callers | Cause::Target)
             && outage.from <= until
             && outage.until >= from
     })
@@ -275,5 +300,6 @@
     times.max().unwrap_or_default()
 }
 
+mod fatal;
 #[cfg(test)]
 mod tests;
--- a/crates/medlarpoint_bench/src/soak/checker/tests.rs
+++ b/crates/medlarpoint_bench/src/soak/checker/tests.rs
@@ -4,7 +4,7 @@
 
 use medlarpoint_model::Version;
 
-use super::{Cause, Change, Observations, Outage, Sample, Violation, check};
+use super::{Cause, Change, FatalRun, Observations, Outage, Sample, Violation, check};
 use crate::soak::caller::{CallRecord, Operation, Outcome};
 
 fn at(seconds: u64) -> Duration {
@@ -153,3 +153,36 @@
     ]);
     assert_eq!(serde_json::to_value(violations).expect("violations serialize"), expected);
 }
+
+fn fatal_runs(times: &[u64]) -> Observations {
+    let run = |at: &u64| FatalRun { at: self::at(*at), caller: 0, target: 1 };
+    Observations { fatal_runs: times.iter().map(run).collect(), ..passing() }
+}
+
+#[test]
+fn a_call_that_goes_on_crashing_targets_is_reported() {
+    assert_eq!(check(&fatal_runs(&[1, 2, 3, 5, 10, 11, 12])), []);
+    let violation = Violation::CrashedAgain { runs: 4 };
+    assert_eq!(check(&fatal_runs(&[1, 2, 3, 5, 10, 11, 12, 13])), [violation]);
+}
+
+#[test]
+fn runs_at_a_disturbed_vm_and_before_a_loss_of_all_daemons_do_not_count() {
+    let mut observations = fatal_runs(&[1, 2, 3, 10, 11, 12, 13]);
+    let outage = |from, until, cause| Outage { vm: 1, cause, from: at(from), until: at(until) };
+    observations.outages = vec![outage(8, 9, Cause::Target)];
+    assert_eq!(check(&observations), []);
+    let mut observations = fatal_runs(&[1, 2, 3, 10, 11, 12, 13]);
+    observations.outages = vec![Outage { vm: 0, ..outage(9, 10, Cause::Process) }];
+    assert_eq!(check(&observations), []);
+}
+
+#[test]
+fn an_innocent_call_that_is_shut_out_is_reported() {
+    let runs = [("a".to_owned(), 0)].into();
+    let calls = vec![call("a", Operation::Lookup, Outcome::BackedOff)];
+    let observations = Observations { calls, runs, ..passing() };
+    assert_eq!(check(&observations), [Violation::ShutOut { id: "a".to_owned() }]);
+    let calls = vec![call("a", Operation::FatalLookup, Outcome::BackedOff)];
+    assert_eq!(check(&Observations { calls, ..observations }), []);
+}
--- a/crates/medlarpoint_bench/src/soak/harness.rs
+++ b/crates/medlarpoint_bench/src/soak/harness.rs
@@ -16,7 +16,7 @@
 
 use super::Flags;
 use super::caller::{Caller, Operation, Outcome};
-use super::checker::{Cause, Change, Observations, Outage, RECOVERY_LIMIT, Sample};
+use super::checker::{Cause, Change, FatalRun, Observations, Outage, RECOVERY_LIMIT, Sample};
 use super::link::Condition;
 use super::member::{Member, Paths, sibling_program};
 use super::plan::{Disturbance, LinkName, Step};
@@ -151,6 +151,7 @@
             let seed = self.seed.wrapping_mul(1_000).wrapping_add(number as u64);
             callers.spawn(self.caller.clone().run(vm, seed));
         }
+        callers.spawn(self.caller.clone().run_fatal(self.seed));
         let polling = self.start_polling();
         let start = self.now();
         let mut running = JoinSet::new();
@@ -172,6 +173,7 @@
         observations.recovery = recovery;
         observations.calls = std::mem::take(&mut *lock(&self.caller.records));
         observations.runs = self.count_runs(&observations);
+        observations.fatal_runs = self.fatal_runs(&observations);
         self.apply_mutation(&mut observations);
         Self::close(self).await;
         Ok(observations)
@@ -182,6 +184,23 @@
         ids.map(|id| (id.clone(), self.execution_log.count(id))).collect()
     }
 
+    /// Returns the executions of calls that crash their targets, in order of time.
+    fn fatal_runs(&self, observations: &Observations) -> Vec<FatalRun> {
+        let names: Vec<String> = (0..self.members.len()).map(|vm| site(vm).0.vm).collect();
+        let fatal = observations.calls.iter();
+        let fatal = fatal.filter(|call| call.operation == Operation::FatalLookup);
+        let mut runs = Vec::new();
+        for call in fatal {
+            for execution in self.execution_log.executions(&call.id) {
+                let target = names.iter().position(|name| *name == execution.target);
+                let at = execution.at.saturating_duration_since(self.caller.start);
+                runs.push(FatalRun { at, caller: call.vm, target: target.unwrap_or_default() });
+            }
+        }
+        runs.sort_by_key(|run| run.at);
+        runs
+    }
+
     /// Changes the observations as the mutation requires.
     fn apply_mutation(&self, observations: &mut Observations) {
         match self.mutation {
@@ -343,8 +362,10 @@
         self.members[vm].lock().await.set_condition(link, condition);
         tokio::time::sleep(duration).await;
         self.members[vm].lock().await.set_condition(link, Condition::Normal);
-        if link == LinkName::Callers {
-            self.record_outage(vm, Cause::Callers, from);
+        match link {
+            LinkName::Callers => self.record_outage(vm, Cause::Callers, from),
+            LinkName::Target => self.record_outage(vm, Cause::Target, from),
+            LinkName::Store => {}
         }
     }
 
--- a/crates/medlarpoint_bench/src/soak/link.rs
+++ b/crates/medlarpoint_bench/src/soak/link.rs
@@ -13,6 +13,9 @@
 /// Limit on the size of one read, in bytes.
 const CHUNK_BYTES: usize = 16 * 1024;
 
+/// Wait before the address of a link is bound again.
+const BIND_RETRY_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Condition of a link.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum Condition {
@@ -58,12 +61,17 @@
 }
 
 impl Link {
-    /// Starts a link that listens on a free port of `ip` and connects to `to`.
-    pub(crate) async fn start(ip: IpAddr, to: SocketAddr) -> io::Result<Self> {
+    /// Starts a link that listens on a free port of `ip` and connects to `to`. While `away`
+    /// holds, it refuses connections.
+    pub(crate) async fn start(
+        ip: IpAddr,
+        to: SocketAddr,
+        away: watch::Receiver<bool>,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind((ip, 0)).await?;
         let address = listener.local_addr()?;
         let (condition, receiver) = watch::channel(Condition::Normal);
-        let task = tokio::spawn(serve(listener, to, receiver));
+        let task = tokio::spawn(serve(listener, address, to, receiver, away));
         Ok(Self { address, condition, task })
     }
 
@@ -82,10 +90,24 @@
     }
 }
 
-async fn serve(listener: TcpListener, to: SocketAddr, condition: watch::Receiver<Condition>) {
+async fn serve(
+    mut listener: TcpListener,
+    address: SocketAddr,
+    to: SocketAddr,
+    condition: watch::Receiver<Condition>,
+    mut away: watch::Receiver<bool>,
+) {
     let mut connections = JoinSet::new();
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => Some(accepted),
+            Ok(_) = away.wait_for(|away| *away) => None,
+        };
+        let Some(accepted) = accepted else {
+            listener = listen_after(listener, address, &mut away).await;
+            continue;
+        };
+        let Ok((stream, _)) = accepted else {
             continue;
         };
         let condition = condition.clone();
@@ -97,6 +119,23 @@
     }
 }
 
+/// Closes a listener and listens again once the server is no longer away.
+async fn listen_after(
+    listener: TcpListener,
+    address: SocketAddr,
+    away: &mut watch::Receiver<bool>,
+) -> TcpListener {
+    drop(listener);
+    // An error means that the server was closed; the link is closed next.
+    let _ = away.wait_for(|away| !*away).await;
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return listener,
+            Err(_) => tokio::time::sleep(BIND_RETRY_INTERVAL).await,
+        }
+    }
+}
+
 async fn forward_connection(
     client: TcpStream,
     to: SocketAddr,
--- a/crates/medlarpoint_bench/src/soak/link/tests.rs
+++ b/crates/medlarpoint_bench/src/soak/link/tests.rs
@@ -24,7 +24,7 @@
             });
         }
     });
-    Link::start(IP, address).await.expect("the link starts")
+    Link::start(IP, address, tokio::sync::watch::channel(false).1).await.expect("the link starts")
 }
 
 async fn echo(stream: &mut TcpStream) -> Option<u8> {
--- a/crates/medlarpoint_bench/src/soak/member.rs
+++ b/crates/medlarpoint_bench/src/soak/member.rs
@@ -10,6 +10,7 @@
 use medlarpoint_standin::{Announcer, ExecutionLog, TargetOptions, TargetServer};
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::process::{Child, Command};
+use tokio::sync::watch;
 
 use super::link::{Condition, Link};
 use super::plan::LinkName;
@@ -112,12 +113,12 @@
         };
         let target =
             TargetServer::start(SocketAddr::new(ip, 0), options, execution_log.clone()).await?;
-        let to_target = Link::start(ip, target.address()).await?;
+        let to_target = Link::start(ip, target.address(), target.away()).await?;
         let announcer =
             Announcer::start(listen.api, service.name.parse()?, to_target.address(), service.slots);
         let mut member = Self {
-            callers: Link::start(ip, listen.calls).await?,
-            store: Link::start(ip, store).await?,
+            callers: Link::start(ip, listen.calls, never_away()).await?,
+            store: Link::start(ip, store, never_away()).await?,
             to_target,
             target,
             announcer,
@@ -249,6 +250,11 @@
     }
 }
 
+/// Returns a channel that says that a server is not away.
+fn never_away() -> watch::Receiver<bool> {
+    watch::channel(false).1
+}
+
 /// Returns the path of a program in the directory of this one.
 pub(crate) fn sibling_program(name: &str) -> Result<PathBuf, Failure> {
     let own = std::env::current_exe()?;
--- a/crates/medlarpoint_standin/src/execution_log.rs
+++ b/crates/medlarpoint_standin/src/execution_log.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 
 /// One execution of a request by a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -13,6 +14,8 @@
     pub request: String,
     /// Name of the target.
     pub target: String,
+    /// Time at which the target began to run it.
+    pub at: Instant,
 }
 
 /// Records executions by the identity of their request. Clones share the log.
@@ -32,6 +35,11 @@
         self.lock().get(request).map_or(0, Vec::len)
     }
 
+    /// Returns the executions of a request.
+    pub fn executions(&self, request: &str) -> Vec<Execution> {
+        self.lock().get(request).cloned().unwrap_or_default()
+    }
+
     /// Returns the number of keyed requests that ran more than once.
     pub fn duplicates(&self) -> usize {
         let executions = self.lock();
--- a/crates/medlarpoint_standin/src/target.rs
+++ b/crates/medlarpoint_standin/src/target.rs
@@ -14,7 +14,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio::task::JoinHandle;
 
 use crate::http::{HttpClient, read_body, respond, serve};
@@ -27,6 +27,8 @@
 pub const CRASH_QUERY: &str = "crash";
 /// Time from the start of a request that crashes its target to the crash.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
+/// Time from the crash of a target to the close of its connections.
+const CLOSE_DELAY: Duration = Duration::from_millis(5);
 /// Wait before a crashed target tries again to bind its address.
 const BIND_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -67,6 +69,8 @@
     mended: AtomicBool,
     /// Wakes the task that crashes the target.
     crash: Notify,
+    /// Whether the target is away after a crash.
+    away: watch::Sender<bool>,
     /// Time by which timers have fired late. It is subtracted from the service time of
     /// later requests, so that the mean stays as configured.
     timer_overshoot: Mutex<Duration>,
@@ -123,6 +127,7 @@
             crashes: AtomicU64::new(0),
             mended: AtomicBool::new(false),
             crash: Notify::new(),
+            away: watch::Sender::new(false),
             timer_overshoot: Mutex::default(),
             options,
         });
@@ -150,6 +155,11 @@
         self.state.crashes.load(Ordering::Relaxed)
     }
 
+    /// Returns a channel that holds whether the target is away after a crash.
+    pub fn away(&self) -> watch::Receiver<bool> {
+        self.state.away.subscribe()
+    }
+
     /// Makes the target serve requests that have crashed it, as a fixed release does.
     pub fn mend(&self) {
         self.state.mended.store(true, Ordering::Relaxed);
@@ -168,6 +178,9 @@
         let serving = AbortOnDrop(serve(listener, Arc::clone(&state), handle));
         state.crash.notified().await;
         state.crashes.fetch_add(1, Ordering::Relaxed);
+        state.away.send_replace(true);
+        // What stands between a daemon and this target refuses connections first.
+        tokio::time::sleep(CLOSE_DELAY).await;
         drop(serving);
         tokio::time::sleep(state.options.restart_after).await;
         listener = loop {
@@ -177,6 +190,7 @@
                 Err(_) => tokio::time::sleep(BIND_RETRY_INTERVAL).await,
             }
         };
+        state.away.send_replace(false);
     }
 }
 
@@ -204,8 +218,8 @@
     let identity = parts.headers.get("x-request-id").and_then(|v| v.to_str().ok());
     if let Some(request) = identity {
         let keyed = parts.headers.contains_key("idempotency-key");
-        let execution =
-            Execution { keyed, request: request.to_owned(), target: state.options.name.clone() };
+        let (request, target) = (request.to_owned(), state.options.name.clone());
+        let execution = Execution { keyed, request, target, at: Instant::now() };
         state.log.record(execution);
     }
     let crashes = parts.uri.query() == Some(CRASH_QUERY) && !state.mended.load(Ordering::Relaxed);
