--- a/crates/medlarpoint_bench/src/fuzz/calls.rs
+++ b/crates/medlarpoint_bench/src/fuzz/calls.rs
@@ -2,17 +2,18 @@
 
 mod oracle;
 mod step;
+mod suspects;
 
 use std::collections::{BTreeMap, HashMap};
 use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use medlarpoint_model::{Class, Idempotency, Name, Policy, Vm};
+use medlarpoint_model::{Class, Fingerprint, Idempotency, Name, Policy, Vm};
 use medlarpoint_routing::{
     AttemptId, AttemptInfo, AttemptResult, AttemptStatus, Call, CallAction, CallEvent, Claim,
     ClaimResult, Completion, Constraints, Destination, FailurePoint, IdempotencyKey, Intake,
-    IntakeAction, Reply, RequestLink, Selector,
+    IntakeAction, Reply, RequestLink, Selector, SuspectReport, Suspects, TargetRun, Verdict,
 };
 use proptest_state_machine::StateMachineTest;
 
@@ -35,6 +36,8 @@
 const REQUEST_LINK_MEGABITS: f64 = 10.0;
 /// Number of different idempotency keys.
 const KEYS: u8 = 4;
+/// Identity of the calls that crash each target that runs them.
+const FATAL: Fingerprint = Fingerprint(u128::MAX);
 /// Limit on the time from a status query to its response; later responses count
 /// as unreachable.
 const QUERY_TIMEOUT: Duration = Duration::from_secs(1);
@@ -53,6 +56,8 @@
     const IGNORE_DRAIN: bool = false;
     /// Returns the response of another request.
     const SWAP_RESPONSES: bool = false;
+    /// Forgets the calls under which targets have crashed.
+    const FORGET_CRASHES: bool = false;
 }
 
 impl CallMutation for () {}
@@ -101,6 +106,9 @@
     running: Vec<AttemptId>,
     arrived_at: HashMap<AttemptId, Duration>,
     draining_since: Option<Duration>,
+    suspects: Suspects,
+    /// Calls that the present process of the target has begun.
+    target_run: TargetRun,
 }
 
 #[derive(Clone, Debug)]
@@ -123,6 +131,10 @@
     sent: HashMap<AttemptId, SentAttempt>,
     inbound: Vec<Inbound>,
     destinations: Vec<Vec<Destination>>,
+    /// What each outbound proxy knows of crashes.
+    outbound_suspects: Vec<Suspects>,
+    /// Reports that the other daemons have not received yet.
+    reports: Vec<(Fingerprint, SuspectReport)>,
     network: Vec<Message>,
     claims: HashMap<IdempotencyKey, (Claim, AttemptId)>,
     oracle: Oracle,
@@ -148,6 +160,8 @@
     destinations: &'a [Destination],
     offset: usize,
     attempts: &'a mut u128,
+    suspects: &'a Suspects,
+    fingerprint: Fingerprint,
 }
 
 impl Selector for FixedSelector<'_> {
@@ -169,8 +183,11 @@
         true
     }
 
-    fn crash_backoff(&mut self, _: Duration) -> Option<Duration> {
-        None
+    fn crash_backoff(&mut self, now: Duration) -> Option<Duration> {
+        match self.suspects.verdict(now, self.fingerprint) {
+            Verdict::Run => None,
+            Verdict::Backoff(retry_after) => Some(retry_after),
+        }
     }
 
     fn new_attempt_id(&mut self) -> AttemptId {
@@ -188,6 +205,8 @@
             sent: HashMap::new(),
             inbound: Vec::new(),
             destinations: vec![Vec::new(); OUTBOUND],
+            outbound_suspects: vec![Suspects::default(); OUTBOUND],
+            reports: Vec::new(),
             network: Vec::new(),
             claims: HashMap::new(),
             oracle: Oracle::default(),
@@ -218,6 +237,9 @@
             running: Vec::new(),
             arrived_at: HashMap::new(),
             draining_since: None,
+            // A daemon that starts asks a peer.
+            suspects: self.outbound_suspects[0].clone(),
+            target_run: TargetRun::default(),
         }
     }
 
@@ -231,7 +253,7 @@
     }
 
     fn start(&mut self, step: &Transition) {
-        let Transition::Start { outbound, key, repeatable, hedged, long } = step else {
+        let Transition::Start { outbound, key, repeatable, hedged, long, fatal } = step else {
             return;
         };
         let number = self.requests.len();
@@ -240,6 +262,7 @@
         let deadline = self.now + Duration::from_secs(3);
         let work = key.map_or(Work::Single(number), Work::Keyed);
         let request = Request {
+            fingerprint: if *fatal { FATAL } else { Fingerprint(number as u128) },
             number,
             work,
             repeatable: *repeatable,
@@ -263,6 +286,8 @@
             destinations: &self.destinations[*outbound],
             offset: offset(work),
             attempts: &mut self.attempt_count,
+            suspects: &self.outbound_suspects[*outbound],
+            fingerprint: self.requests[number].fingerprint,
         };
         let (call, actions) = Call::start(self.now, constraints, &mut selector);
         self.calls.insert(number, call);
@@ -278,6 +303,8 @@
             destinations: &self.destinations[request.outbound],
             offset: offset(request.work),
             attempts: &mut self.attempt_count,
+            suspects: &self.outbound_suspects[request.outbound],
+            fingerprint: request.fingerprint,
         };
         let actions = call.handle(self.now, event, &mut selector);
         self.execute_call_actions(number, actions);
@@ -444,7 +471,7 @@
                 IntakeAction::Receive { attempt, .. } => {
                     self.inbound[inbound].receiving.push(attempt);
                 }
-                IntakeAction::HandOver { attempt } => self.hand_over(inbound, attempt),
+                IntakeAction::HandOver { attempt } => self.hand_over::<P>(inbound, attempt),
                 IntakeAction::Abort { .. } => {}
                 IntakeAction::Reply { attempt, reply } => {
                     let (result, origin) = attempt_result::<P>(reply);
@@ -455,7 +482,10 @@
         }
     }
 
-    fn hand_over(&mut self, inbound: usize, attempt: AttemptId) {
+    fn hand_over<P: CallMutation>(&mut self, inbound: usize, attempt: AttemptId) {
+        if !self.begin_run::<P>(inbound, attempt) {
+            return;
+        }
         let target = &mut self.inbound[inbound];
         let arrived_at = target.arrived_at.get(&attempt).copied().unwrap_or_default();
         if let Some(since) = target.draining_since {
@@ -505,11 +535,16 @@
         let Some((index, attempt)) = running.get(which % running.len().max(1)).copied() else {
             return;
         };
-        self.inbound[index].running.retain(|other| *other != attempt);
         let Some(sent) = self.sent.get(&attempt).cloned() else {
             return;
         };
         let request = self.requests[sent.request].clone();
+        if request.fingerprint == FATAL {
+            self.crash::<P>(index);
+            return;
+        }
+        self.inbound[index].running.retain(|other| *other != attempt);
+        self.end_run(index, attempt, request.fingerprint, outcome);
         let work = if P::SWAP_RESPONSES && which % 5 == 4 {
             Work::Single(usize::MAX)
         } else {
@@ -589,6 +624,7 @@
 
     fn advance<P: CallMutation>(&mut self, time: Duration) {
         self.now += time;
+        self.deliver_reports();
         let due: Vec<usize> = self
             .calls
             .iter()
--- a/crates/medlarpoint_bench/src/fuzz/calls/step.rs
+++ b/crates/medlarpoint_bench/src/fuzz/calls/step.rs
@@ -15,6 +15,8 @@
         repeatable: bool,
         hedged: bool,
         long: bool,
+        /// Whether the call crashes each target that runs it.
+        fatal: bool,
     },
     Deliver {
         which: usize,
@@ -81,9 +83,9 @@
         let condition = prop_oneof![6 => Just(StoreCondition::Normal), 1 => Just(StoreCondition::Unavailable), 1 => Just(StoreCondition::ResponseLost)];
         let outcome = prop_oneof![6 => Just(TargetOutcome::Responded), 1 => Just(TargetOutcome::Rejected), 1 => Just(TargetOutcome::ConnectionLost)];
         prop_oneof![
-            10 => (0..OUTBOUND, prop::option::weighted(0.5, 0..KEYS), weighted(0.3), weighted(0.5), weighted(0.2))
-                .prop_map(|(outbound, key, repeatable, hedged, long)| {
-                    Transition::Start { outbound, key, repeatable, hedged, long }
+            10 => (0..OUTBOUND, prop::option::weighted(0.5, 0..KEYS), weighted(0.3), weighted(0.5), weighted(0.2), weighted(0.1))
+                .prop_map(|(outbound, key, repeatable, hedged, long, fatal)| {
+                    Transition::Start { outbound, key, repeatable, hedged, long, fatal }
                 }),
             40 => (which(), weighted(0.1)).prop_map(|(which, duplicate)| Transition::Deliver { which, duplicate }),
             3 => (which(), any::<bool>()).prop_map(|(which, arrives)| Transition::Disconnect { which, arrives }),
--- a/crates/medlarpoint_bench/tests/fuzz.rs
+++ b/crates/medlarpoint_bench/tests/fuzz.rs
@@ -67,6 +67,7 @@
 mutation!(CallMutation, IgnoreBoot, IGNORE_BOOT);
 mutation!(CallMutation, IgnoreDrain, IGNORE_DRAIN);
 mutation!(CallMutation, SwapResponses, SWAP_RESPONSES);
+mutation!(CallMutation, ForgetCrashes, FORGET_CRASHES);
 mutation!(MemberMutation, NeverSync, NEVER_SYNC);
 mutation!(MemberMutation, ReuseIncarnation, REUSE_INCARNATION);
 
@@ -134,3 +135,9 @@
 fn a_reused_incarnation_is_detected() {
     assert_detected(run::<Members<ReuseIncarnation>>(STEPS, 1), "");
 }
+
+/// Guards against BUDGET of issue 28.
+#[test]
+fn a_fatal_call_that_runs_again_and_again_is_detected() {
+    assert_detected(run::<Calls<ForgetCrashes>>(STEPS, 1), "a fatal call ran again");
+}
