--- a/crates/medlarpoint_daemon/src/pool/tests.rs
+++ b/crates/medlarpoint_daemon/src/pool/tests.rs
@@ -8,7 +8,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use super::Pool;
+use super::{Pool, STALE_AFTER};
 use crate::idle::Retention;
 
 const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
@@ -71,3 +71,23 @@
 async fn a_connection_that_has_gone_silent_is_replaced_by_a_new_one() {
     assert_second_request_gets_a_response(SecondRequest::Ignore).await;
 }
+
+/// Guards against the cause of the day `severed`: connections that go silent for good while
+/// new ones work. However many are idle, a control request tries one of them.
+#[tokio::test]
+async fn a_request_is_not_lost_on_one_silent_connection_after_another() {
+    const IDLE: usize = 5;
+    let address = start_peer(SecondRequest::Ignore).await;
+    let pool = Arc::new(Pool::new(Retention::PEER));
+    let mut connections = Vec::new();
+    for _ in 0..IDLE {
+        let (_, connection) = pool.exchange_repeatable(address, request()).await.unwrap();
+        connections.push(connection);
+    }
+    for connection in connections {
+        connection.release();
+    }
+    let exchange = pool.exchange_repeatable(address, request());
+    let (response, _) = tokio::time::timeout(STALE_AFTER * 4, exchange).await.unwrap().unwrap();
+    assert_eq!(response.status(), StatusCode::OK);
+}
