--- a/crates/medlarpoint_bench/tests/path.rs
+++ b/crates/medlarpoint_bench/tests/path.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use medlarpoint_bench::{Fleet, Preset, Site};
 use medlarpoint_cli::Exit;
-use medlarpoint_standin::{CRASH_QUERY, Faults, HttpClient};
+use medlarpoint_standin::{CRASH_QUERY, Faults, HttpClient, TargetServer};
 
 /// Starts a fleet of three daemons, each with a target of the service `orders`, in
 /// three data centres of two regions.
@@ -310,3 +310,31 @@
     }
     fleet.close().await;
 }
+
+/// Guards against shutting out a call for good: once the targets are mended, as by a release,
+/// it is served again after its backoff.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_crashed_its_targets_is_served_again_once_they_are_mended() {
+    let fleet = start_configured_fleet().await;
+    let http = HttpClient::new(Duration::from_secs(10));
+    let mut response = http.send(lookup(&fleet, 0, "fatal", CRASH_QUERY)).await.unwrap();
+    assert!(response.status().is_server_error());
+    let targets = || fleet.members.iter().filter_map(|member| member.target.as_ref());
+    assert_eq!(targets().map(TargetServer::crashes).sum::<u64>(), 2);
+    targets().for_each(TargetServer::mend);
+    let mut rejected = 0;
+    while response.status() != StatusCode::OK {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        response = http.send(lookup(&fleet, 1, "fatal", CRASH_QUERY)).await.unwrap();
+        if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+            assert!(response.headers().contains_key("retry-after"));
+            assert_eq!(response.headers()["medlarpoint-outcome"], "not-run");
+            rejected += 1;
+        }
+    }
+    assert!(rejected > 0, "it was not backed off");
+    // The response has cleared it.
+    let response = http.send(lookup(&fleet, 1, "fatal", CRASH_QUERY)).await.unwrap();
+    assert_eq!(response.status(), StatusCode::OK);
+    fleet.close().await;
+}
--- a/crates/medlarpoint_daemon/src/control.rs
+++ b/crates/medlarpoint_daemon/src/control.rs
@@ -8,9 +8,9 @@
 use medlarpoint_config::replica::Effect;
 use medlarpoint_config::{Distance, Rejection};
 use medlarpoint_membership::{
-    Action, Event as MemberEvent, Role, StoreRead, broadcast, fallback, rank, ranked, readers,
+    Action, Event as MemberEvent, Role, StoreRead, broadcast, fallback, readers,
 };
-use medlarpoint_model::{Delta, Region, Vm};
+use medlarpoint_model::{Delta, Vm};
 use medlarpoint_wire::{Body, Frame, Gossip, PROTOCOL_VERSION, PullResponse, Record, Tip, encode};
 use rand::seq::IndexedRandom;
 use tokio::net::UdpSocket;
@@ -19,7 +19,7 @@
 use crate::event::Event;
 use crate::state::{Control, InForce, Shared, lock};
 use crate::traffic::Counts;
-use crate::{peer, services, suspects};
+use crate::{peer, roles, services, suspects};
 
 /// Interval between ticks of the control plane.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -27,8 +27,6 @@
 const TRAFFIC_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Number of members of the local data centre to which a new version is announced.
 const ANNOUNCE_FANOUT: usize = 6;
-/// Number of members that hold each role.
-pub(crate) const ROLE_HOLDERS: usize = 2;
 /// Size limit of a received datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 2_048;
 
@@ -230,20 +228,21 @@
             table.live_in(&own_record.data_centre).filter(|r| r.vm != own_record.vm).collect();
         let mut recipients: Vec<SocketAddr> =
             local.sample(&mut rand::rng(), ANNOUNCE_FANOUT).map(|record| record.peer).collect();
-        if Self::role_rank(control, Role::Relay) != Rank::Rest {
+        if roles::rank_in(control, Role::Relay) != Rank::Rest {
             for data_centre in table.data_centres() {
                 let member = table.live_in(&data_centre).next();
                 let same_region = member.is_some_and(|record| record.region == own_record.region);
                 if same_region && data_centre != own_record.data_centre {
-                    recipients.extend(role_holders(table.live_in(&data_centre), Role::Relay));
+                    recipients.extend(roles::holders(table.live_in(&data_centre), Role::Relay));
                 }
             }
         }
-        if Self::role_rank(control, Role::Gateway) != Rank::Rest {
-            for region in regions(control).into_iter().filter(|region| *region != own_record.region)
+        if roles::rank_in(control, Role::Gateway) != Rank::Rest {
+            for region in
+                roles::regions(control).into_iter().filter(|region| *region != own_record.region)
             {
                 let members = table.live().filter(|record| record.region == region);
-                recipients.extend(role_holders(members, Role::Gateway));
+                recipients.extend(roles::holders(members, Role::Gateway));
             }
         }
         for to in recipients {
@@ -259,8 +258,8 @@
         let seq = control.freshness.record_local(now);
         let own_record = control.detector.local_record();
         let is_reader =
-            readers(control.detector.table().live(), ROLE_HOLDERS).contains(&&own_record.vm);
-        if !is_reader && !fallback::broadcasts(Self::gateway_rank(&control)) {
+            readers(control.detector.table().live(), roles::HOLDERS).contains(&&own_record.vm);
+        if !is_reader && !fallback::broadcasts(roles::gateway_rank(&control)) {
             return;
         }
         let (origin, boot) = (own_record.vm.clone(), own_record.boot);
@@ -295,36 +294,7 @@
     /// Returns whether the version in force was not known to be the newest for so long
     /// that the first daemons read the store themselves.
     fn may_be_outdated(&self, control: &Control, now: Duration) -> bool {
-        let propagation = self.shared.reloadable.load().bounds.propagation;
-        control.freshness.age(now) >= fallback::max_read_age(propagation, 0)
-    }
-
-    /// Returns this daemon's rank as a gateway of its region.
-    pub(crate) fn gateway_rank(control: &Control) -> usize {
-        let own_record = control.detector.local_record();
-        let members = control.detector.table().live();
-        let members = members.filter(|record| record.region == own_record.region);
-        rank(Role::Gateway, &own_record.vm, members.map(|record| &record.vm))
-    }
-
-    /// Returns this daemon's rank in a role: within its region for gateways, within its
-    /// data centre for the other roles.
-    pub(crate) fn role_rank(control: &Control, role: Role) -> Rank {
-        let own_record = control.detector.local_record();
-        let table = control.detector.table();
-        let position = match role {
-            Role::Gateway => Self::gateway_rank(control),
-            Role::Relay | Role::Reader | Role::Reporter | Role::Registrar => rank(
-                role,
-                &own_record.vm,
-                table.live_in(&own_record.data_centre).map(|record| &record.vm),
-            ),
-        };
-        match position {
-            0 => Rank::First,
-            1 => Rank::Second,
-            _ => Rank::Rest,
-        }
+        control.freshness.age(now) >= fallback::max_read_age(self.shared.propagation(), 0)
     }
 
     fn handle_frame(&self, from: SocketAddr, frame: &Frame) {
@@ -382,8 +352,8 @@
         let rank = match distance {
             _ if self.may_be_outdated(control, now) => Rank::First,
             Distance::Near => Rank::First,
-            Distance::Region => Self::role_rank(control, Role::Relay),
-            Distance::Remote => Self::role_rank(control, Role::Gateway),
+            Distance::Region => roles::rank_in(control, Role::Relay),
+            Distance::Remote => roles::rank_in(control, Role::Gateway),
         };
         let wait = control.pulls.add_candidate(now, from, gossip.tip, distance, rank);
         if let Some(wait) = wait {
@@ -506,19 +476,3 @@
         self.shared.lifecycle.mark_ready();
     }
 }
-
-/// Returns the peer addresses of the members that hold a role.
-fn role_holders<'a>(members: impl Iterator<Item = &'a Record>, role: Role) -> Vec<SocketAddr> {
-    let members: Vec<&Record> = members.collect();
-    let holders = ranked(role, members.iter().map(|record| &record.vm), ROLE_HOLDERS);
-    members.iter().filter(|r| holders.contains(&&r.vm)).map(|record| record.peer).collect()
-}
-
-/// Returns the regions with live members, in order.
-fn regions(control: &Control) -> Vec<Region> {
-    let mut regions: Vec<Region> =
-        control.detector.table().live().map(|record| record.region.clone()).collect();
-    regions.sort_unstable();
-    regions.dedup();
-    regions
-}
--- a/crates/medlarpoint_daemon/src/handover.rs
+++ b/crates/medlarpoint_daemon/src/handover.rs
@@ -113,7 +113,10 @@
         Ok(Ok(buffered)) => {
             let elapsed = shared.now().saturating_sub(started_at).as_millis();
             header::set(&mut parts.headers, header::TOOK_MS, &elapsed.to_string());
-            forward_response(&shared, &info, parts, buffered, connection, in_flight)
+            let mut response =
+                forward_response(&shared, &info, parts, buffered, connection, in_flight);
+            set_suspicion(&shared, response.headers_mut(), fingerprint);
+            response
         }
         Ok(Err(_)) => {
             log_lost(FailurePoint::HalfAnswer);
--- a/crates/medlarpoint_daemon/src/lib.rs
+++ b/crates/medlarpoint_daemon/src/lib.rs
@@ -35,6 +35,7 @@
 mod registry;
 mod reload;
 mod reports;
+mod roles;
 mod server;
 mod services;
 mod settings;
@@ -47,6 +48,7 @@
 mod target;
 mod target_end;
 mod target_response;
+mod target_selector;
 mod traffic;
 
 pub use api::{DocumentError, openapi};
--- a/crates/medlarpoint_daemon/src/outbound_call.rs
+++ b/crates/medlarpoint_daemon/src/outbound_call.rs
@@ -3,17 +3,16 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Request, Response, Uri, request};
-use medlarpoint_model::{BodyIdentity, Fingerprint, Name, Version, Vm};
+use http::{Request, Response, Uri, request};
+use medlarpoint_model::{BodyIdentity, Fingerprint, Version, Vm};
 use medlarpoint_platform::call;
 use medlarpoint_routing::{
-    AttemptId, AttemptResult, AttemptStatus, Call, CallAction, CallEvent, CallInfo, CallResult,
-    Constraints, Destination, FailurePoint, IdempotencyKey, Outcome, ResolvedRoute, ResponseInfo,
-    Selector, Suspects, Verdict,
+    AttemptId, AttemptResult, AttemptStatus, Call, CallAction, CallEvent, CallResult, Constraints,
+    Destination, FailurePoint, IdempotencyKey, Outcome, ResolvedRoute, ResponseInfo,
 };
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::AbortHandle;
@@ -25,6 +24,7 @@
 use crate::outbound_response::{call_id, error_response};
 use crate::pool::{ExchangeError, Pool};
 use crate::state::{ServiceState, Shared, lock};
+use crate::target_selector::TargetSelector;
 use crate::{call_identity, header, inbound};
 
 /// Time limit for a query about an attempt.
@@ -78,50 +78,6 @@
     response: Response<Body>,
 }
 
-/// Selects targets for one call and spends the budgets of its service.
-struct TargetSelector<'a> {
-    service: &'a ServiceState,
-    suspects: &'a Mutex<Suspects>,
-    route: Name,
-    body_bytes: usize,
-    fingerprint: Option<Fingerprint>,
-    key: Option<IdempotencyKey>,
-}
-
-impl Selector for TargetSelector<'_> {
-    fn pick(&mut self, now: Duration, exclude: &[Vm], busy: &[Vm]) -> Option<Destination> {
-        let mut picker = lock(&self.service.picker);
-        if let Some(key) = self.key {
-            return picker.pick_keyed(key, exclude);
-        }
-        let call = CallInfo { route: &self.route, body_bytes: self.body_bytes };
-        picker.pick(now, &call, exclude, busy)
-    }
-
-    fn locate(&mut self, _now: Duration, vm: &Vm) -> Option<Destination> {
-        lock(&self.service.picker).locate(vm)
-    }
-
-    fn spend_retry(&mut self) -> bool {
-        lock(&self.service.retries).withdraw()
-    }
-
-    fn spend_hedge(&mut self) -> bool {
-        lock(&self.service.hedges).withdraw()
-    }
-
-    fn crash_backoff(&mut self, now: Duration) -> Option<Duration> {
-        match lock(self.suspects).verdict(now, self.fingerprint?) {
-            Verdict::Run => None,
-            Verdict::Backoff(retry_after) => Some(retry_after),
-        }
-    }
-
-    fn new_attempt_id(&mut self) -> AttemptId {
-        AttemptId(rand::random())
-    }
-}
-
 /// A call with its attempts. Dropping it cancels the attempts that are pending.
 pub(crate) struct OutboundCall {
     shared: Arc<Shared>,
@@ -264,19 +220,7 @@
         };
         let route = &self.resolved.route.name;
         lock(&self.service.picker).on_sent(now, &destination.vm, attempt, route);
-        let mut request = self.build_request(attempt, &destination, body);
-        // A caller may not set them.
-        request.headers_mut().remove(&header::LEAVING);
-        request.headers_mut().remove(&header::FINGERPRINT);
-        request.headers_mut().remove(&header::SUSPICION);
-        self.set_fingerprint(now, request.headers_mut());
-        let leaving = lock(&self.shared.departures).leaving(now, &destination.vm);
-        if let Some(process) = leaving {
-            header::set(request.headers_mut(), header::LEAVING, &process);
-        }
-        if may_spill {
-            request.headers_mut().insert(header::SPILL, HeaderValue::from_static("yes"));
-        }
+        let mut request = self.build_request(attempt, &destination, body, may_spill);
         let repeatable = self.constraints.repeatable;
         let (shared, sender) = (Arc::clone(&self.shared), self.sender.clone());
         let address = destination.address;
@@ -297,53 +241,6 @@
         self.pending.insert(attempt, pending);
     }
 
-    fn build_request(
-        &self,
-        attempt: AttemptId,
-        destination: &Destination,
-        body: Body,
-    ) -> Request<Body> {
-        let mut request = Request::new(body);
-        *request.method_mut() = self.parts.method.clone();
-        let path = self.parts.uri.path_and_query().cloned();
-        *request.uri_mut() = path.map(Uri::from).unwrap_or_default();
-        let headers = request.headers_mut();
-        *headers = self.parts.headers.clone();
-        if !headers.contains_key(http::header::HOST)
-            && let Some(authority) = self.parts.uri.authority()
-        {
-            header::set(headers, http::header::HOST, authority.as_str());
-        }
-        let time_left = self.constraints.deadline.saturating_sub(self.shared.now());
-        header::set(headers, header::FLEET, self.shared.fleet().as_str());
-        header::set(headers, header::ATTEMPT, &attempt.to_string());
-        header::set(headers, header::BOOT, &destination.boot.to_string());
-        header::set(headers, header::ROUTE, self.resolved.route.name.as_str());
-        header::set(headers, header::DEADLINE_MS, &time_left.as_millis().to_string());
-        if let Some(until) = self.constraints.useful_until {
-            let now = self.shared.now();
-            let useful_ms = until.saturating_sub(now).as_millis();
-            header::set(headers, header::USEFUL_MS, &useful_ms.to_string());
-        }
-        header::set(headers, header::SERVICE, self.service.name.as_str());
-        header::set(headers, header::RANK, &self.resolved.route.priority.to_string());
-        let retry = if self.constraints.repeatable { inbound::REPEATABLE } else { "no" };
-        header::set(headers, header::RETRY, retry);
-        request
-    }
-
-    /// Names the call, and what is known of crashes under it.
-    fn set_fingerprint(&self, now: Duration, headers: &mut HeaderMap) {
-        let Some(fingerprint) = self.fingerprint else {
-            return;
-        };
-        header::set(headers, header::FINGERPRINT, &fingerprint.to_string());
-        let report = lock(&self.shared.suspects).report(now, fingerprint);
-        if let Some(report) = report {
-            header::set(headers, header::SUSPICION, &report.to_string());
-        }
-    }
-
     /// Queries the inbound proxy about the status of an attempt.
     fn query_attempt(&self, attempt: AttemptId, destination: &Destination) {
         let now = self.shared.now();
@@ -571,3 +468,5 @@
         }
     }
 }
+
+mod attempt_request;
--- a/crates/medlarpoint_daemon/src/reports.rs
+++ b/crates/medlarpoint_daemon/src/reports.rs
@@ -9,7 +9,8 @@
 use medlarpoint_wire::Body;
 
 use crate::clock::wall_ms;
-use crate::control::{Driver, ROLE_HOLDERS};
+use crate::control::Driver;
+use crate::roles;
 use crate::state::Control;
 
 /// Time for which a new reporter collects reports before it publishes a summary that
@@ -27,7 +28,7 @@
         let data_centre = control.detector.local_record().data_centre.clone();
         let live = control.detector.table().live_in(&data_centre).map(|record| &record.vm);
         let reporters: Vec<Vm> =
-            ranked(Role::Reporter, live, ROLE_HOLDERS).into_iter().cloned().collect();
+            ranked(Role::Reporter, live, roles::HOLDERS).into_iter().cloned().collect();
         let own_vm = control.detector.local_record().vm.clone();
         let at_ms = control.applied_ms;
         for vm in control.reporter.due(now, version, &reporters) {
@@ -46,7 +47,7 @@
     /// Summarizes the reports of the data centre, if this daemon is one of its reporters.
     pub(crate) fn summarize(&self, control: &mut Control) {
         let now = self.shared().now();
-        if Self::role_rank(control, Role::Reporter) == Rank::Rest {
+        if roles::rank_in(control, Role::Reporter) == Rank::Rest {
             control.reporter_since = None;
             return;
         }
--- a/crates/medlarpoint_daemon/src/startup.rs
+++ b/crates/medlarpoint_daemon/src/startup.rs
@@ -13,11 +13,11 @@
 use tokio::task::JoinSet;
 
 use crate::clock::jitter;
-use crate::control::{Driver, ROLE_HOLDERS};
+use crate::control::Driver;
 use crate::event::Event;
 use crate::settings::Source;
 use crate::state::{Shared, lock};
-use crate::{peer, registry, store_reader, suspects};
+use crate::{peer, registry, roles, store_reader, suspects};
 
 /// Number of peers from which a daemon pulls before it serves callers.
 const PEERS_PULLED: usize = 3;
@@ -102,7 +102,7 @@
     let own_vm = &control.detector.local_record().vm;
     let table = control.detector.table();
     let knows_peers = table.live().any(|record| record.vm != *own_vm);
-    !knows_peers || readers(table.live(), ROLE_HOLDERS).contains(&own_vm)
+    !knows_peers || readers(table.live(), roles::HOLDERS).contains(&own_vm)
 }
 
 /// Runs a round that pulls from known members and does not query the store.
--- a/crates/medlarpoint_daemon/src/state.rs
+++ b/crates/medlarpoint_daemon/src/state.rs
@@ -241,6 +241,11 @@
         record.map_or(Distance::Near, |record| self.distance(record))
     }
 
+    /// Returns the time within which a version has to be in force.
+    pub(crate) fn propagation(&self) -> Duration {
+        self.reloadable.load().bounds.propagation
+    }
+
     pub(crate) fn tip(&self) -> Tip {
         let in_force = self.in_force.load();
         Tip { version: in_force.snapshot.version, digest: in_force.snapshot.digest }
--- a/crates/medlarpoint_daemon/src/store_reader.rs
+++ b/crates/medlarpoint_daemon/src/store_reader.rs
@@ -17,8 +17,9 @@
 use medlarpoint_store::{Consistency, Era, Error, Item, Key, Position, Store};
 
 use crate::clock::{jitter, wall_ms};
-use crate::control::{Driver, ROLE_HOLDERS};
+use crate::control::Driver;
 use crate::event::Event;
+use crate::roles;
 use crate::settings::Source;
 use crate::state::{Control, Shared, lock};
 
@@ -56,11 +57,6 @@
     }
 }
 
-/// Returns the time within which an acknowledged version has to be in force.
-fn propagation(shared: &Shared) -> Duration {
-    shared.reloadable.load().bounds.propagation
-}
-
 /// Follows the configuration in the store until the daemon closes.
 pub(crate) async fn run(driver: Arc<Driver>) {
     let shared = Arc::clone(driver.shared());
@@ -98,14 +94,14 @@
         return Task::Wait(READY_CHECK_INTERVAL);
     }
     let control = lock(&shared.control);
-    if readers(control.detector.table().live(), ROLE_HOLDERS)
+    if readers(control.detector.table().live(), roles::HOLDERS)
         .contains(&&control.detector.local_record().vm)
     {
         return Task::Watch;
     }
     let age = control.freshness.age(shared.now());
-    let rank = Driver::gateway_rank(&control);
-    let max_age = fallback::max_read_age(propagation(shared), rank);
+    let rank = roles::gateway_rank(&control);
+    let max_age = fallback::max_read_age(shared.propagation(), rank);
     if age < max_age {
         return Task::Wait(max_age.saturating_sub(age));
     }
@@ -131,7 +127,7 @@
             return self.read(driver).await;
         };
         let key = source_key(shared);
-        let timeout = fallback::watch_timeout(propagation(shared));
+        let timeout = fallback::watch_timeout(shared.propagation());
         let result = tokio::select! {
             result = shared.store.watch(&key, after, timeout) => result,
             () = shared.lifecycle.wait_closed() => return Duration::ZERO,
@@ -193,7 +189,7 @@
 fn fallback_pause(shared: &Shared) -> Duration {
     let members = lock(&shared.control).detector.table().live().count();
     let period = Duration::from_secs_f64(members as f64 / FALLBACK_READS_PER_S);
-    if period <= fallback::max_read_age(propagation(shared), 0) {
+    if period <= fallback::max_read_age(shared.propagation(), 0) {
         Duration::ZERO
     } else {
         jitter(period)
