--- a/crates/medlarpoint_daemon/src/handover.rs
+++ b/crates/medlarpoint_daemon/src/handover.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use medlarpoint_model::{Fingerprint, Name};
 use medlarpoint_platform::call::{self, ResponseClass};
 use medlarpoint_routing::{AttemptInfo, Completion, FailurePoint, Outcome, Reply};
@@ -14,7 +14,7 @@
 use crate::inbound::{InFlightAttempt, SavedResponse, load, respond, set_leaving};
 use crate::outbound_response::call_id;
 use crate::pool::{ExchangeError, PooledConnection};
-use crate::state::{Shared, lock};
+use crate::state::{Shared, TargetState, lock};
 use crate::target_end::HandedOver;
 use crate::{call_identity, shaped_body, target_response};
 
@@ -38,14 +38,8 @@
     }
     let fingerprint = call_identity::of_attempt(&parts, &body);
     learn_suspicion(&shared, &parts.headers, fingerprint);
-    strip_proxy_headers(&mut parts.headers);
     let time_left = info.deadline.saturating_sub(shared.now());
-    header::set(&mut parts.headers, header::DEADLINE_MS, &time_left.as_millis().to_string());
-    let id = call::caller_info(&parts.headers).id;
-    if id.is_some() {
-        let instance = target.instance.as_ref().map(|instance| &*instance.report().instance);
-        call::set_target(&mut parts.headers, time_left, instance);
-    }
+    let id = set_target_headers(&mut parts.headers, &target, time_left);
     let request = Request::from_parts(parts, body);
     let started_at = shared.now();
     let log_lost = |point| {
@@ -131,6 +125,21 @@
     }
 }
 
+/// Replaces the headers between proxies by those for the target. Returns the id of the call,
+/// if its caller has given it one.
+fn set_target_headers(
+    headers: &mut HeaderMap,
+    target: &TargetState,
+    time_left: Duration,
+) -> Option<HeaderValue> {
+    strip_proxy_headers(headers);
+    header::set(headers, header::DEADLINE_MS, &time_left.as_millis().to_string());
+    let id = call::caller_info(headers).id?;
+    let instance = target.instance.as_ref().map(|instance| &*instance.report().instance);
+    call::set_target(headers, time_left, instance);
+    Some(id)
+}
+
 /// Returns whether an attempt is meant for `service`. An attempt that names no
 /// service matches any.
 fn matches_service(headers: &HeaderMap, service: &Name) -> bool {
@@ -254,7 +263,7 @@
     ] {
         headers.remove(name);
     }
-    headers.insert(header::RETRY, http::HeaderValue::from_static("no"));
+    headers.insert(header::RETRY, HeaderValue::from_static("no"));
 }
 
 /// Counts consecutive failures to connect to the target; a success resets the count.
