--- a/crates/medlarpoint_daemon/src/call_identity.rs
+++ b/crates/medlarpoint_daemon/src/call_identity.rs
@@ -36,3 +36,6 @@
     };
     identity.fingerprint()
 }
+
+#[cfg(test)]
+mod tests;
