--- a/crates/medlarpoint_cli/src/output.rs
+++ b/crates/medlarpoint_cli/src/output.rs
@@ -84,6 +84,7 @@
         Resource::Policy(policy) => serde_json::to_value(policy),
         Resource::Route(route) => serde_json::to_value(route),
         Resource::Service(service) => serde_json::to_value(service),
+        Resource::Workspace(workspace) => serde_json::to_value(workspace),
     };
     value.unwrap_or_default()
 }
--- a/crates/medlarpoint_daemon/src/explain.rs
+++ b/crates/medlarpoint_daemon/src/explain.rs
@@ -66,7 +66,7 @@
     match &entry.resource {
         Resource::Route(route) => Some(route.service.clone()),
         Resource::Service(service) => Some(service.name.clone()),
-        Resource::Policy(_) => None,
+        Resource::Policy(_) | Resource::Workspace(_) => None,
     }
 }
 
--- a/crates/medlarpoint_model/src/diagnostic.rs
+++ b/crates/medlarpoint_model/src/diagnostic.rs
@@ -48,6 +48,9 @@
     /// Two routes match exactly the same calls.
     #[strum(props(code = "MR008"))]
     Ambiguous,
+    /// A key belongs to two workspaces, or is listed twice.
+    #[strum(props(code = "MR009"))]
+    SharedKey,
 }
 
 /// Violation of a rule, with the path of the field that causes it.
--- a/crates/medlarpoint_model/src/document.rs
+++ b/crates/medlarpoint_model/src/document.rs
@@ -64,7 +64,7 @@
             self.report(
                 Rule::Shape,
                 "document",
-                "must be a table with the keys service, route and policy",
+                "must be a table with the keys service, route, policy and workspace",
             );
             return;
         };
@@ -72,7 +72,11 @@
             match table.parse::<Kind>() {
                 Ok(kind) => self.parse_items(kind, items),
                 Err(_) => {
-                    self.report(Rule::Shape, table, "unknown table: use service, route or policy");
+                    self.report(
+                        Rule::Shape,
+                        table,
+                        "unknown table: use service, route, policy or workspace",
+                    );
                 }
             }
         }
@@ -98,6 +102,7 @@
                 Kind::Policy => parse_item(item).map(Resource::Policy),
                 Kind::Route => parse_item(item).map(Resource::Route),
                 Kind::Service => parse_item(item).map(Resource::Service),
+                Kind::Workspace => parse_item(item).map(Resource::Workspace),
             };
             self.add(&path, resource);
         }
--- a/crates/medlarpoint_model/src/lib.rs
+++ b/crates/medlarpoint_model/src/lib.rs
@@ -17,6 +17,7 @@
 mod snapshot;
 mod validation;
 mod version;
+mod workspace;
 
 pub use delta::{Change, CommitId, Delta};
 pub use diagnostic::{Diagnostic, Diagnostics, Rule};
@@ -32,3 +33,4 @@
 pub use snapshot::{Snapshot, SnapshotError};
 pub use validation::validate;
 pub use version::Version;
+pub use workspace::{InvalidKeyDigest, KeyDigest, Quota, Workspace};
--- a/crates/medlarpoint_model/src/resource.rs
+++ b/crates/medlarpoint_model/src/resource.rs
@@ -6,7 +6,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-use crate::{InvalidName, Name, Policy, Route, Service, Version};
+use crate::{InvalidName, Name, Policy, Route, Service, Version, Workspace};
 
 /// Kind of a resource.
 #[derive(
@@ -35,6 +35,8 @@
     Route,
     /// A [`Service`].
     Service,
+    /// A [`Workspace`].
+    Workspace,
 }
 
 /// Identifier of a resource, written `kind/name`.
@@ -55,7 +57,7 @@
     #[error("{0:?} is not a key: write kind/name, for example route/book-cart")]
     MissingSlash(String),
     /// The kind is unknown.
-    #[error("{0:?} is not a kind: use policy, route or service")]
+    #[error("{0:?} is not a kind: use policy, route, service or workspace")]
     Kind(String),
     /// The name is malformed.
     #[error(transparent)]
@@ -90,6 +92,8 @@
     Route(Route),
     /// A named group of interchangeable targets.
     Service(Service),
+    /// A customer with its keys and its quota.
+    Workspace(Workspace),
 }
 
 impl Resource {
@@ -99,6 +103,7 @@
             Self::Policy(policy) => (Kind::Policy, &policy.name),
             Self::Route(route) => (Kind::Route, &route.name),
             Self::Service(service) => (Kind::Service, &service.name),
+            Self::Workspace(workspace) => (Kind::Workspace, &workspace.name),
         };
         Key { kind, name: name.clone() }
     }
--- a/crates/medlarpoint_model/src/route.rs
+++ b/crates/medlarpoint_model/src/route.rs
@@ -39,6 +39,9 @@
     /// Priority of the calls when slots are scarce; 0 is served first.
     #[serde(default = "default_priority")]
     pub priority: u8,
+    /// Whether calls need no key of a workspace.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub public: bool,
     /// Latency up to which a response has its full value for the caller, in
     /// milliseconds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -59,6 +62,7 @@
             split: Vec::new(),
             attempts: default_attempts(),
             priority: default_priority(),
+            public: false,
             target_latency_ms: None,
         }
     }
--- a/crates/medlarpoint_model/src/snapshot.rs
+++ b/crates/medlarpoint_model/src/snapshot.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     Change, Delta, Diagnostics, Digest, Entry, Key, Name, Policy, Resource, Route, Service,
-    Version, validate,
+    Version, Workspace, validate,
 };
 
 /// A configuration version with all its resources.
@@ -125,6 +125,14 @@
         })
     }
 
+    /// Returns the workspaces in key order.
+    pub fn workspaces(&self) -> impl Iterator<Item = &Workspace> {
+        self.entries.values().filter_map(|entry| match &entry.resource {
+            Resource::Workspace(workspace) => Some(workspace),
+            _ => None,
+        })
+    }
+
     /// Looks up a service by name.
     pub fn service(&self, name: &Name) -> Option<&Service> {
         let key = Key { kind: crate::Kind::Service, name: name.clone() };
--- a/crates/medlarpoint_model/src/validation.rs
+++ b/crates/medlarpoint_model/src/validation.rs
@@ -2,7 +2,10 @@
 
 use std::collections::HashMap;
 
-use crate::{Diagnostic, Diagnostics, Matcher, Policy, Resource, Route, Rule, Service, Snapshot};
+use crate::{
+    Diagnostic, Diagnostics, KeyDigest, Matcher, Policy, Resource, Route, Rule, Service, Snapshot,
+    Workspace,
+};
 
 /// Upper limit for the deadline of a route, in milliseconds.
 const MAX_DEADLINE_MS: u64 = 600_000;
@@ -15,6 +18,7 @@
 pub fn validate(snapshot: &Snapshot) -> Result<(), Diagnostics> {
     let mut diagnostics = Vec::new();
     let mut matchers = HashMap::new();
+    let mut key_owners = HashMap::new();
     for entry in snapshot.entries.values() {
         match &entry.resource {
             Resource::Policy(policy) => check_policy(policy, &mut diagnostics),
@@ -23,6 +27,9 @@
                 check_route(snapshot, route, &mut diagnostics);
                 check_ambiguity(route, &mut matchers, &mut diagnostics);
             }
+            Resource::Workspace(workspace) => {
+                check_workspace(workspace, &mut key_owners, &mut diagnostics);
+            }
         }
     }
     if diagnostics.is_empty() { Ok(()) } else { Err(Diagnostics(diagnostics)) }
@@ -63,6 +70,30 @@
     });
 }
 
+fn check_workspace<'a>(
+    workspace: &'a Workspace,
+    key_owners: &mut HashMap<KeyDigest, &'a Workspace>,
+    diagnostics: &mut Vec<Diagnostic>,
+) {
+    for key in &workspace.keys {
+        let Some(other) = key_owners.insert(*key, workspace) else {
+            continue;
+        };
+        diagnostics.push(Diagnostic {
+            rule: Rule::SharedKey,
+            path: format!("workspace[{}].keys", workspace.name),
+            message: format!("workspace {} has the same key: remove one of them", other.name),
+        });
+    }
+    if workspace.quota.is_some_and(|quota| quota.calls_per_1000_s == 0) {
+        diagnostics.push(Diagnostic {
+            rule: Rule::Range,
+            path: format!("workspace[{}].quota.calls_per_1000_s", workspace.name),
+            message: "must not be 0: leave the quota out for no limit".to_owned(),
+        });
+    }
+}
+
 fn check_route(snapshot: &Snapshot, route: &Route, diagnostics: &mut Vec<Diagnostic>) {
     let path = |field: &str| format!("route[{}].{field}", route.name);
     let split = route.split.iter().map(|share| (&share.service, "split"));
