--- a/crates/medlarpoint_bench/tests/path.rs
+++ b/crates/medlarpoint_bench/tests/path.rs
@@ -311,6 +311,29 @@
     fleet.close().await;
 }
 
+/// Guards against an end of the target that stays unseen: its address accepts connections for a
+/// moment after those of the running calls broke, as with a socket that a supervisor holds.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_end_of_a_target_is_seen_though_its_address_stays_open_for_a_moment() {
+    const ARRIVALS: usize = 24;
+    /// Three crashes, and three more runs until every daemon knows of them.
+    const MAX_RUNS: usize = 6;
+    let fleet = start_configured_fleet().await;
+    for target in fleet.members.iter().filter_map(|member| member.target.as_ref()) {
+        target.set_accept_after_crash(Duration::from_millis(100));
+    }
+    let http = HttpClient::new(Duration::from_secs(10));
+    for arrival in 0..ARRIVALS {
+        let request = lookup(&fleet, arrival % 3, "fatal", CRASH_QUERY);
+        // A response of any kind: the call is never served.
+        assert!(http.send(request).await.unwrap().status().is_server_error());
+        tokio::time::sleep(Duration::from_millis(250)).await;
+    }
+    let runs = fleet.execution_log.count("fatal");
+    assert!(runs <= MAX_RUNS, "the call ran {runs} times");
+    fleet.close().await;
+}
+
 /// Guards against shutting out a call for good: once the targets are mended, as by a release,
 /// it is served again after its backoff.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/medlarpoint_daemon/src/handover.rs
+++ b/crates/medlarpoint_daemon/src/handover.rs
@@ -16,7 +16,7 @@
 use crate::pool::{ExchangeError, PooledConnection};
 use crate::state::{Shared, TargetState, lock};
 use crate::target_end::HandedOver;
-use crate::{call_identity, shaped_body, target_response};
+use crate::{call_identity, shaped_body, target_end, target_response};
 
 /// Limit on a response that is saved to replay when its idempotency key is sent
 /// again, in bytes.
@@ -65,8 +65,11 @@
     let result = tokio::time::timeout(time_left, exchange).await;
     let (response, connection) = match result {
         Ok(Ok(exchanged)) => exchanged,
-        Ok(Err(ExchangeError::Connect(_))) => {
+        Ok(Err(ExchangeError::Connect(error))) => {
             handed_over.withdraw();
+            if error.is_refused() {
+                target_end::on_refused(&shared, &target);
+            }
             record_connection(&shared, false);
             return reject(&shared, in_flight, FailurePoint::TargetConnect);
         }
--- a/crates/medlarpoint_daemon/src/pool.rs
+++ b/crates/medlarpoint_daemon/src/pool.rs
@@ -55,6 +55,13 @@
     Handshake(#[from] hyper::Error),
 }
 
+impl ConnectError {
+    /// Returns whether no process listens on the address.
+    pub(crate) fn is_refused(&self) -> bool {
+        matches!(self, Self::Io(error) if error.kind() == ErrorKind::ConnectionRefused)
+    }
+}
+
 /// Reason why a request got no response.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum ExchangeError {
@@ -177,8 +184,8 @@
                 PooledConnection { pool, address, sender, reuse_limit: IDLE_TIMEOUT }.release();
                 false
             }
-            Ok(Err(ConnectError::Io(error))) => error.kind() == ErrorKind::ConnectionRefused,
-            Ok(Err(ConnectError::Timeout | ConnectError::Handshake(_))) | Err(_) => false,
+            Ok(Err(error)) => error.is_refused(),
+            Err(_) => false,
         }
     }
 
--- a/crates/medlarpoint_daemon/src/target_end.rs
+++ b/crates/medlarpoint_daemon/src/target_end.rs
@@ -11,6 +11,9 @@
 use crate::event::Event;
 use crate::state::{Shared, TargetState, lock};
 
+/// Time after which an address that accepted a connection is checked once more. A socket may
+/// outlive the process that served it for a moment, for example if a supervisor holds it.
+const RECHECK_DELAY: Duration = Duration::from_millis(150);
 /// Limit on the calls that one log line names.
 const MAX_LOGGED_CALLS: usize = 16;
 
@@ -91,6 +94,7 @@
         let checked_at = shared.now();
         if !shared.target_pool.is_refused(target.address).await {
             *accepted_at = checked_at;
+            tokio::spawn(recheck(Arc::clone(shared), target.clone(), self.run));
             return false;
         }
         record_end(shared, target, self.run);
@@ -108,6 +112,32 @@
     }
 }
 
+/// Checks the address of the target again after [`RECHECK_DELAY`], if no call has been answered
+/// or handed over since.
+async fn recheck(shared: Arc<Shared>, target: TargetState, run: u64) {
+    tokio::time::sleep(RECHECK_DELAY).await;
+    let may_have_ended = {
+        let target_run = lock(&shared.target_run);
+        target_run.number() == run && target_run.may_have_ended()
+    };
+    if may_have_ended && shared.target_pool.is_refused(target.address).await {
+        on_refused(&shared, &target);
+    }
+}
+
+/// Records the end of the target's process if it refuses connections after that of a running
+/// call broke. A full target that refuses connections still runs calls.
+pub(crate) fn on_refused(shared: &Shared, target: &TargetState) {
+    let ended_run = {
+        let target_run = lock(&shared.target_run);
+        target_run.may_have_ended().then(|| target_run.number())
+    };
+    if let Some(run) = ended_run {
+        record_end(shared, target, run);
+        take_out_of_service(shared, target);
+    }
+}
+
 /// Records that another process has become the target. `previous` is the state of the
 /// target before that.
 pub(crate) fn on_replaced(shared: &Shared, previous: &TargetState) {
--- a/crates/medlarpoint_routing/src/target_run.rs
+++ b/crates/medlarpoint_routing/src/target_run.rs
@@ -89,6 +89,14 @@
         self.running.swap_remove(&attempt);
     }
 
+    /// Returns whether all that is known of the process fits its end: no call runs, and the
+    /// connection of one broke after the last response.
+    pub fn may_have_ended(&self) -> bool {
+        let since_response =
+            |unanswered: &Unanswered| self.answered_at.is_none_or(|at| unanswered.since > at);
+        self.running.is_empty() && self.unanswered.iter().any(since_response)
+    }
+
     /// Records that the target was replaced by another, perhaps of another release.
     pub fn replace(&mut self) {
         *self = Self { number: self.number + 1, ..Self::default() };
--- a/crates/medlarpoint_routing/src/target_run/tests.rs
+++ b/crates/medlarpoint_routing/src/target_run/tests.rs
@@ -73,3 +73,20 @@
     run.withdraw(AttemptId(1));
     assert_eq!(suspects(&mut run, NOW), [2]);
 }
+
+/// Guards against taking a full target for one that has ended.
+#[test]
+fn a_run_may_have_ended_only_while_no_call_runs_and_none_was_answered_since() {
+    let call = RunningCall { fingerprint: Fingerprint(1), known: Suspicion::default() };
+    let mut run = TargetRun::default();
+    assert!(!run.may_have_ended());
+    run.begin(AttemptId(1), call);
+    run.begin(AttemptId(2), call);
+    run.abandon(Duration::from_secs(1), AttemptId(1));
+    assert!(!run.may_have_ended(), "the other call runs");
+    run.abandon(Duration::from_secs(2), AttemptId(2));
+    assert!(run.may_have_ended());
+    run.begin(AttemptId(3), call);
+    run.answer(Duration::from_secs(3), AttemptId(3));
+    assert!(!run.may_have_ended(), "the process has answered since");
+}
--- a/crates/medlarpoint_standin/src/target.rs
+++ b/crates/medlarpoint_standin/src/target.rs
@@ -65,6 +65,8 @@
     rng: Mutex<StdRng>,
     requests_started: AtomicU64,
     crashes: AtomicU64,
+    /// Time for which the address still accepts connections after a crash.
+    accept_after_crash: Mutex<Duration>,
     /// Whether requests with [`CRASH_QUERY`] are served like others.
     mended: AtomicBool,
     /// Wakes the task that crashes the target.
@@ -125,6 +127,7 @@
             rng: Mutex::new(StdRng::seed_from_u64(options.seed)),
             requests_started: AtomicU64::new(0),
             crashes: AtomicU64::new(0),
+            accept_after_crash: Mutex::default(),
             mended: AtomicBool::new(false),
             crash: Notify::new(),
             away: watch::Sender::new(false),
@@ -145,6 +148,12 @@
         self.state.service_time.lock().unwrap_or_else(PoisonError::into_inner).slowdown = factor;
     }
 
+    /// Sets the time for which the address still accepts connections after a crash, as with
+    /// a socket that a supervisor holds.
+    pub fn set_accept_after_crash(&self, time: Duration) {
+        *self.state.accept_after_crash.lock().unwrap_or_else(PoisonError::into_inner) = time;
+    }
+
     /// Returns the number of requests that have started to run.
     pub fn requests_started(&self) -> u64 {
         self.state.requests_started.load(Ordering::Relaxed)
@@ -175,13 +184,24 @@
 /// same address.
 async fn run(mut listener: TcpListener, address: SocketAddr, state: Arc<State>) {
     loop {
-        let serving = AbortOnDrop(serve(listener, Arc::clone(&state), handle));
+        // A duplicate of the socket keeps it open after the task that serves it has ended.
+        let socket = listener.into_std().expect("a registered socket");
+        let held = socket.try_clone().expect("a listening socket can be duplicated");
+        let served = TcpListener::from_std(socket).expect("a non-blocking socket");
+        let serving = AbortOnDrop(serve(served, Arc::clone(&state), handle));
         state.crash.notified().await;
         state.crashes.fetch_add(1, Ordering::Relaxed);
         state.away.send_replace(true);
-        // What stands between a daemon and this target refuses connections first.
-        tokio::time::sleep(CLOSE_DELAY).await;
+        let accept_after = *state.accept_after_crash.lock().unwrap_or_else(PoisonError::into_inner);
+        if accept_after.is_zero() {
+            // What stands between a daemon and this target refuses connections first.
+            tokio::time::sleep(CLOSE_DELAY).await;
+        }
         drop(serving);
+        if !accept_after.is_zero() {
+            tokio::time::sleep(accept_after).await;
+        }
+        drop(held);
         tokio::time::sleep(state.options.restart_after).await;
         listener = loop {
             match TcpListener::bind(address).await {
