Identify the workspace of a call by its key

Cause: callers of a configuration with workspaces send a key, which no part of the daemon read.

Change: a table from digests of keys to workspaces is compiled with the routes of a version. The outbound proxy takes the key out of the headers before anything else sees them, answers 401 to an unknown key on a route that is not public, sends the workspace to the inbound proxy in medlarpoint-workspace (callers cannot set it), and uses the priority of the workspace before that of the route. The inbound proxy uses the workspace for fair shares and names it to the target. The identity of a call for crash detection uses the workspace instead of the credentials. Without workspaces in the configuration, headers pass as before.

Not yet tested with real daemons.

--- a/crates/medlarpoint_daemon/src/call_identity.rs
+++ b/crates/medlarpoint_daemon/src/call_identity.rs
@@ -27,8 +27,14 @@
     let authority = parts.uri.authority().map_or("", |authority| authority.as_str());
     let host = parts.headers.get(http::header::HOST).map_or(authority.as_bytes(), |h| h.as_bytes());
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    // The workspace stands for the credentials, so that a call is the same with each key of
+    // its workspace, and at a daemon that never sees the key.
+    let caller = match parts.headers.get(&header::WORKSPACE) {
+        Some(workspace) => [workspace.as_bytes(), &[]],
+        None => [value(&header::TENANT), value(&http::header::AUTHORIZATION)],
+    };
     let identity = CallIdentity {
-        caller: [value(&header::TENANT), value(&http::header::AUTHORIZATION)],
+        caller,
         host,
         method: parts.method.as_str().as_bytes(),
         path: path.as_bytes(),
--- a/crates/medlarpoint_daemon/src/call_identity/tests.rs
+++ b/crates/medlarpoint_daemon/src/call_identity/tests.rs
@@ -39,6 +39,18 @@
     }
 }
 
+/// Guards against a call that crashes targets and counts as another one with each key, or at
+/// a daemon that gets the workspace and not the key.
+#[test]
+fn calls_of_a_workspace_are_the_same_whatever_else_identifies_their_caller() {
+    let workspace = ("medlarpoint-workspace", "x");
+    let named = of_call(&parts("/a", &[workspace]), NO_BODY);
+    let credentials = [workspace, ("authorization", "Token k"), ("medlarpoint-tenant", "y")];
+    assert_eq!(of_call(&parts("/a", &credentials), NO_BODY), named);
+    let other = of_call(&parts("/a", &[("medlarpoint-workspace", "y")]), NO_BODY);
+    assert_ne!(other, named);
+}
+
 /// An outbound proxy that has not read the body names no fingerprint.
 #[test]
 fn an_attempt_has_the_fingerprint_that_its_sender_names_or_that_of_its_body() {
--- a/crates/medlarpoint_daemon/src/handover.rs
+++ b/crates/medlarpoint_daemon/src/handover.rs
@@ -16,7 +16,7 @@
 use crate::pool::{ExchangeError, PooledConnection};
 use crate::state::{Shared, TargetState, lock};
 use crate::target_end::HandedOver;
-use crate::{call_identity, shaped_body, target_response};
+use crate::{call_identity, shaped_body, target_response, workspace};
 
 /// Limit on a response that is saved to replay when its idempotency key is sent
 /// again, in bytes.
@@ -39,7 +39,8 @@
     let fingerprint = call_identity::of_attempt(&parts, &body);
     learn_suspicion(&shared, &parts.headers, fingerprint);
     let time_left = info.deadline.saturating_sub(shared.now());
-    let id = set_target_headers(&mut parts.headers, &target, time_left);
+    let has_workspaces = shared.in_force.load().keys.has_workspaces();
+    let id = set_target_headers(&mut parts.headers, &target, has_workspaces, time_left);
     let request = Request::from_parts(parts, body);
     let started_at = shared.now();
     let log_lost = |point| {
@@ -130,8 +131,10 @@
 fn set_target_headers(
     headers: &mut HeaderMap,
     target: &TargetState,
+    has_workspaces: bool,
     time_left: Duration,
 ) -> Option<HeaderValue> {
+    workspace::set_for_target(headers, has_workspaces);
     strip_proxy_headers(headers);
     header::set(headers, header::DEADLINE_MS, &time_left.as_millis().to_string());
     let id = call::caller_info(headers).id?;
--- a/crates/medlarpoint_daemon/src/header.rs
+++ b/crates/medlarpoint_daemon/src/header.rs
@@ -31,6 +31,8 @@
 pub(crate) const SPILL: HeaderName = HeaderName::from_static("medlarpoint-spill");
 /// Tenant of the call; set by the caller.
 pub(crate) const TENANT: HeaderName = HeaderName::from_static("medlarpoint-tenant");
+/// Workspace of the call, set by the outbound proxy that has identified the caller.
+pub(crate) const WORKSPACE: HeaderName = HeaderName::from_static("medlarpoint-workspace");
 /// Time left for the call, in milliseconds; a caller may set it.
 pub(crate) const DEADLINE_MS: HeaderName = HeaderName::from_static("medlarpoint-deadline-ms");
 /// Retries of the call: `no` if this layer may not retry it, as when a layer above
--- a/crates/medlarpoint_daemon/src/inbound.rs
+++ b/crates/medlarpoint_daemon/src/inbound.rs
@@ -309,9 +309,11 @@
 /// Value of the retry header between proxies on a route declared repeatable.
 pub(crate) const REPEATABLE: &str = "repeatable";
 
-/// Returns the tenant of a call; `unnamed` if the caller states none.
+/// Returns the workspace of a call if the outbound proxy has identified one, or else the
+/// tenant that the caller states; `unnamed` if there is neither.
 pub(crate) fn tenant(headers: &HeaderMap) -> medlarpoint_model::Tenant {
-    let named = header::parse(headers, &header::TENANT);
+    let workspace = header::parse(headers, &header::WORKSPACE);
+    let named = workspace.or_else(|| header::parse(headers, &header::TENANT));
     named.unwrap_or_else(|| "unnamed".parse().expect("a valid literal"))
 }
 
--- a/crates/medlarpoint_daemon/src/lib.rs
+++ b/crates/medlarpoint_daemon/src/lib.rs
@@ -50,6 +50,7 @@
 mod target_response;
 mod target_selector;
 mod traffic;
+mod workspace;
 
 pub use api::{DocumentError, openapi};
 pub use body_limit::Exceeded as BodyLimitExceeded;
--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
 use hyper::body::{Body as _, Incoming};
-use medlarpoint_model::{Class, Name};
+use medlarpoint_model::{Class, Name, Workspace};
 use medlarpoint_platform::call;
 use medlarpoint_routing::{
     Constraints, FailurePoint, IdempotencyKey, LARGE_MESSAGE_BYTES, Outcome, ResolvedRoute,
@@ -16,9 +16,10 @@
 use crate::body_limit::Limiter;
 use crate::event::Event;
 use crate::held_body::{HeldBody, MAX_REPLAY_BYTES};
-use crate::outbound_call::{OutboundCall, Payload};
+use crate::outbound_call::{OutboundCall, Payload, Routed};
 use crate::outbound_response::{call_id, set_retry_after};
 use crate::state::{ServiceState, Shared, lock};
+use crate::workspace::{self, Caller};
 use crate::{header, inbound};
 
 /// Retry delay suggested to a caller whose call is rejected with status 503: about
@@ -41,6 +42,8 @@
 enum RoutingError {
     #[error("this daemon is starting and has no current configuration yet: retry later")]
     Starting,
+    #[error("the key of the call is unknown: check it with the operator")]
+    UnknownKey,
     #[error("no route matches the call: list the routes with `medlarpoint get route`")]
     NoRoute,
     #[error("the chain of calls exceeds {MAX_DEPTH} proxies: check it for a loop")]
@@ -59,6 +62,7 @@
     fn status(self) -> StatusCode {
         match self {
             Self::Starting | Self::NoService | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::TooDeep => StatusCode::LOOP_DETECTED,
             Self::BodySize => StatusCode::PAYLOAD_TOO_LARGE,
@@ -68,11 +72,11 @@
 }
 
 /// Serves a call: routes it, sends it to a target and returns the response.
-pub(crate) async fn serve(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
+pub(crate) async fn serve(shared: Arc<Shared>, mut request: Request<Incoming>) -> Response<Body> {
     let _guard = shared.lifecycle.track_call();
     let started = shared.now();
-    let tenant = inbound::tenant(request.headers());
     let in_force = shared.in_force.load_full();
+    let identified = workspace::identify(&in_force.keys, request.headers_mut());
     let host = request.uri().host().map(str::to_owned).or_else(|| {
         let host = request.headers().get(http::header::HOST)?;
         host.to_str().ok().map(str::to_owned)
@@ -86,10 +90,18 @@
     let caller = call::caller_info(request.headers());
     let fractional = caller.id.is_some();
     let class = resolved.map_or("none", |resolved| resolved.route.class.into());
+    let is_public = resolved.is_some_and(|resolved| resolved.route.public);
+    let is_unknown = matches!(identified, Caller::Unknown) && !is_public;
+    let workspace = identified.workspace();
+    let tenant = inbound::tenant(request.headers());
+    let tenant = workspace.as_ref().map_or(tenant.0, |workspace| workspace.name.clone());
     let mut response = match resolved {
-        Some(resolved) => dispatch(&shared, Arc::clone(resolved), request, &caller).await,
-        None if shared.lifecycle.is_ready() => reject(RoutingError::NoRoute, fractional),
-        None => reject(RoutingError::Starting, fractional),
+        _ if !shared.lifecycle.is_ready() => reject(RoutingError::Starting, fractional),
+        _ if is_unknown => reject(RoutingError::UnknownKey, fractional),
+        Some(resolved) => {
+            dispatch(&shared, Arc::clone(resolved), workspace, request, &caller).await
+        }
+        None => reject(RoutingError::NoRoute, fractional),
     };
     // A point that is not a `FailurePoint` is a `RoutingError`.
     let point = header::parse::<FailurePoint>(response.headers(), &header::POINT);
@@ -119,13 +131,11 @@
 async fn dispatch(
     shared: &Arc<Shared>,
     resolved: Arc<ResolvedRoute>,
+    workspace: Option<Arc<Workspace>>,
     request: Request<Incoming>,
     caller: &call::CallerInfo,
 ) -> Response<Body> {
     let reject = |reason| reject(reason, caller.id.is_some());
-    if !shared.lifecycle.is_ready() {
-        return reject(RoutingError::Starting);
-    }
     let shutdown = shared.lifecycle.shutdown();
     if shutdown.is_some_and(|shutdown| shared.now() >= shutdown.accept_until) {
         return reject(RoutingError::Stopping);
@@ -145,6 +155,9 @@
         return reject(RoutingError::BadBody);
     };
     header::strip_hop_by_hop(&mut parts.headers);
+    if let Some(workspace) = &workspace {
+        header::set(&mut parts.headers, header::WORKSPACE, workspace.name.as_str());
+    }
     let origin = shared.reloadable.load().service.clone();
     call::set_origin(&mut parts.headers, origin.as_ref().map(Name::as_str));
     header::set(&mut parts.headers, header::DEPTH, &(depth + 1).to_string());
@@ -179,7 +192,8 @@
     };
     credit_budgets(shared, &service, &resolved);
     let shared = Arc::clone(shared);
-    OutboundCall::new(shared, service, resolved, parts, payload, key, constraints).run().await
+    let routed = Routed { service, resolved, workspace };
+    OutboundCall::new(shared, routed, parts, payload, key, constraints).run().await
 }
 
 /// Buffers a small request body; holds a large one until a target has room for it.
@@ -250,8 +264,10 @@
     let headers = response.headers_mut();
     header::set(headers, header::OUTCOME, Outcome::NotRun.into());
     header::set(headers, header::POINT, reason.into());
-    if reason.status() == StatusCode::SERVICE_UNAVAILABLE {
-        set_retry_after(headers, RETRY_AFTER, fractional);
+    match reason.status() {
+        StatusCode::SERVICE_UNAVAILABLE => set_retry_after(headers, RETRY_AFTER, fractional),
+        StatusCode::UNAUTHORIZED => call::set_challenge(headers),
+        _ => {}
     }
     response
 }
--- a/crates/medlarpoint_daemon/src/outbound_call.rs
+++ b/crates/medlarpoint_daemon/src/outbound_call.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response, Uri, request};
-use medlarpoint_model::{BodyIdentity, Fingerprint, Version, Vm};
+use medlarpoint_model::{BodyIdentity, Fingerprint, Version, Vm, Workspace};
 use medlarpoint_platform::call;
 use medlarpoint_routing::{
     AttemptId, AttemptResult, AttemptStatus, Call, CallAction, CallEvent, CallResult, Constraints,
@@ -78,11 +78,23 @@
     response: Response<Body>,
 }
 
+/// What the configuration says about a call.
+pub(crate) struct Routed {
+    /// Service that the call is sent to.
+    pub(crate) service: Arc<ServiceState>,
+    /// Route that the call matches.
+    pub(crate) resolved: Arc<ResolvedRoute>,
+    /// Workspace that the call belongs to; `None` if it carries no key.
+    pub(crate) workspace: Option<Arc<Workspace>>,
+}
+
 /// A call with its attempts. Dropping it cancels the attempts that are pending.
 pub(crate) struct OutboundCall {
     shared: Arc<Shared>,
     service: Arc<ServiceState>,
     resolved: Arc<ResolvedRoute>,
+    /// Workspace that the call belongs to; `None` if it carries no key.
+    workspace: Option<Arc<Workspace>>,
     parts: request::Parts,
     payload: Payload,
     /// Identity of the call; `None` while its body stays with the caller.
@@ -123,13 +135,13 @@
     /// Creates a call of which no attempt has been sent.
     pub(crate) fn new(
         shared: Arc<Shared>,
-        service: Arc<ServiceState>,
-        resolved: Arc<ResolvedRoute>,
+        routed: Routed,
         parts: request::Parts,
         payload: Payload,
         key: Option<IdempotencyKey>,
         constraints: Constraints,
     ) -> Self {
+        let Routed { service, resolved, workspace } = routed;
         let (sender, receiver) = unbounded_channel();
         let (pending, responses) = (HashMap::new(), HashMap::new());
         let (started_at, version) = (shared.now(), shared.version());
@@ -141,6 +153,7 @@
             shared,
             service,
             resolved,
+            workspace,
             parts,
             payload,
             fingerprint,
--- a/crates/medlarpoint_daemon/src/outbound_call/attempt_request.rs
+++ b/crates/medlarpoint_daemon/src/outbound_call/attempt_request.rs
@@ -11,8 +11,8 @@
 use crate::{header, inbound};
 
 /// Headers that a caller may not set.
-const SET_BY_PROXIES: [HeaderName; 4] =
-    [header::SPILL, header::LEAVING, header::FINGERPRINT, header::SUSPICION];
+const SET_BY_PROXIES: [HeaderName; 5] =
+    [header::SPILL, header::LEAVING, header::FINGERPRINT, header::SUSPICION, header::WORKSPACE];
 
 impl OutboundCall {
     /// Builds the request of an attempt. `may_spill` permits a busy inbound proxy to reject it
@@ -50,7 +50,10 @@
             header::set(headers, header::USEFUL_MS, &useful_ms.to_string());
         }
         header::set(headers, header::SERVICE, self.service.name.as_str());
-        header::set(headers, header::RANK, &self.resolved.route.priority.to_string());
+        header::set(headers, header::RANK, &self.rank().to_string());
+        if let Some(workspace) = &self.workspace {
+            header::set(headers, header::WORKSPACE, workspace.name.as_str());
+        }
         let retry = if self.constraints.repeatable { inbound::REPEATABLE } else { "no" };
         header::set(headers, header::RETRY, retry);
         self.set_fingerprint(now, headers);
@@ -64,6 +67,12 @@
         request
     }
 
+    /// Returns the priority of the call: that of its workspace, or else of its route.
+    fn rank(&self) -> u8 {
+        let priority = self.workspace.as_ref().and_then(|workspace| workspace.priority);
+        priority.unwrap_or(self.resolved.route.priority)
+    }
+
     /// Names the call, and what is known of crashes under it.
     fn set_fingerprint(&self, now: Duration, headers: &mut HeaderMap) {
         let Some(fingerprint) = self.fingerprint else {
--- a/crates/medlarpoint_daemon/src/state.rs
+++ b/crates/medlarpoint_daemon/src/state.rs
@@ -20,7 +20,8 @@
 use medlarpoint_platform::bounds::Bounds;
 use medlarpoint_platform::store::Client;
 use medlarpoint_routing::{
-    Budget, Departures, HedgeDelays, Intake, Picker, RouteTable, Suspects, TargetRun, WaitEstimator,
+    Budget, Departures, HedgeDelays, Intake, KeyTable, Picker, RouteTable, Suspects, TargetRun,
+    WaitEstimator,
 };
 use medlarpoint_store::{Era, Lease};
 use medlarpoint_wire::{Readiness, Record, Tip};
@@ -37,17 +38,19 @@
 use crate::slowdown::Slowdown;
 use crate::traffic::Traffic;
 
-/// Version in force with its compiled routes.
+/// Version in force with its compiled routes and keys.
 #[derive(Debug)]
 pub(crate) struct InForce {
     pub(crate) snapshot: Arc<Snapshot>,
     pub(crate) routes: RouteTable,
+    pub(crate) keys: KeyTable,
 }
 
 impl InForce {
     pub(crate) fn new(snapshot: Arc<Snapshot>) -> Self {
         let routes = RouteTable::compile(&snapshot);
-        Self { snapshot, routes }
+        let keys = KeyTable::compile(&snapshot);
+        Self { snapshot, routes, keys }
     }
 }
 
