Read pipelined requests ahead and start repeatable ones before their turn

Cause: the server library reads the next request of an HTTP/1.1 connection only after the response to the previous one. A call of 94 ms waits behind others, is abandoned unread, or runs after its caller's deadline.

A framing without I/O finds the ends of heads with httparse; repeatable GET and HEAD requests without a body start at once, and the service takes their responses when hyper reaches the request. At most 8 unfinished requests and 64 KiB per connection, and 1,024 early calls per process. The end of the caller's stream is noticed while bytes are unread, and cancels all calls. A call that waited for its turn past its deadline is rejected. Events MP1101 and MP1102, counter medlarpoint_early_calls_total. With the setting at 1, the socket is not wrapped.

Not run: soak, measurements.

--- a/crates/medlarpoint_daemon/src/daemon.rs
+++ b/crates/medlarpoint_daemon/src/daemon.rs
@@ -28,6 +28,7 @@
 use crate::keep_alive::Connections;
 use crate::lifecycle::{Lifecycle, Shutdown};
 use crate::log::Log;
+use crate::pipeline::EarlyCalls;
 use crate::pool::Pool;
 use crate::server::{self, Listener};
 use crate::settings::Settings;
@@ -355,6 +356,7 @@
     Shared {
         store: Client::new(&settings.endpoints, settings.store_timeout),
         reloadable: ArcSwap::from_pointee(Reloadable::of(&settings)),
+        early_calls: EarlyCalls::new(),
         caller_connections: Connections::new(settings.options.limits.idle_connections),
         settings,
         clock,
--- a/crates/medlarpoint_daemon/src/event.rs
+++ b/crates/medlarpoint_daemon/src/event.rs
@@ -9,6 +9,8 @@
 use medlarpoint_store::Era;
 use medlarpoint_wire::Status;
 
+use crate::pipeline::{CancelReason, OffReason};
+
 /// Severity of an event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "lowercase")]
@@ -188,6 +190,11 @@
     /// This daemon's target has answered a call under which targets had crashed.
     5016 Info SuspectCleared { call: Fingerprint, crashes: u32 } => "call {call} was answered after {crashes} crashes in a row";
 
+    /// Requests of a connection are read one at a time from now on, because the read-ahead reader does not handle what the caller sent. Calls are served as without read-ahead.
+    1101 Info ReadAheadOff { requests: u64, reason: OffReason } => "read-ahead off on a connection after {requests} requests: {reason}";
+    /// A call that was started before its turn was cancelled. The caller has no response to it; it may send the request again.
+    1102 Info EarlyCallCancelled { id: String, reason: CancelReason } => "call {id}, started before its turn, cancelled: {reason}";
+
     /// The connection limit of a listener is reached; new connections are closed immediately.
     5005 Warn ConnectionLimit { listener: String, limit: usize } => "{listener} has reached its limit of {limit} connections";
 
--- a/crates/medlarpoint_daemon/src/lib.rs
+++ b/crates/medlarpoint_daemon/src/lib.rs
@@ -30,6 +30,7 @@
 mod outbound_response;
 mod partition;
 mod peer;
+mod pipeline;
 mod platform_endpoints;
 mod pool;
 mod registry;
@@ -57,6 +58,7 @@
 pub use event::{CATALOGUE, Description as EventDescription, Event, Level};
 pub use log::{Format as LogFormat, Log, SetupError};
 pub use metrics::{InstallError, install as install_metrics};
+pub use pipeline::{CancelReason, OffReason};
 pub use settings::{
     ApiOptions, InvalidSettings, LimitOptions, ListenOptions, LogOptions, MembershipOptions,
     Options, RoutingOptions, Settings, Source, StoreOptions,
--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -10,6 +10,7 @@
 use medlarpoint_platform::call;
 use medlarpoint_routing::{
     Constraints, FailurePoint, IdempotencyKey, LARGE_MESSAGE_BYTES, Outcome, ResolvedRoute,
+    RouteTable,
 };
 
 use crate::body::{Body, Buffered, buffer};
@@ -51,6 +52,8 @@
     BadBody,
     #[error("no target of the service is reachable: retry later")]
     NoService,
+    #[error("the deadline passed before the turn of the call: send it on another connection")]
+    Late,
     #[error("this daemon is shutting down: send the call to another daemon")]
     Stopping,
 }
@@ -58,7 +61,9 @@
 impl RoutingError {
     fn status(self) -> StatusCode {
         match self {
-            Self::Starting | Self::NoService | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Starting | Self::NoService | Self::Late | Self::Stopping => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::TooDeep => StatusCode::LOOP_DETECTED,
             Self::BodySize => StatusCode::PAYLOAD_TOO_LARGE,
@@ -67,27 +72,43 @@
     }
 }
 
+/// Returns whether the route of a call declares it repeatable.
+pub(crate) fn is_repeatable<B>(shared: &Shared, request: &Request<B>) -> bool {
+    let in_force = shared.in_force.load();
+    find_route(&in_force.routes, request).is_some_and(|resolved| resolved.route.repeatable)
+}
+
+fn find_route<'a, B>(
+    routes: &'a RouteTable,
+    request: &Request<B>,
+) -> Option<&'a Arc<ResolvedRoute>> {
+    let host = request.uri().host().map(str::to_owned).or_else(|| {
+        let host = request.headers().get(http::header::HOST)?;
+        host.to_str().ok().map(str::to_owned)
+    });
+    routes.find(host.as_deref(), request.method(), request.uri().path(), request.headers())
+}
+
 /// Serves a call: routes it, sends it to a target and returns the response.
-pub(crate) async fn serve(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
+///
+/// A call that was started before its turn has no hyper body. `read_at` is the time at which
+/// a call was read that waited for its turn, on the local clock; its deadline counts from
+/// then.
+pub(crate) async fn serve(
+    shared: Arc<Shared>,
+    request: Request<Option<Incoming>>,
+    read_at: Option<Duration>,
+) -> Response<Body> {
     let _guard = shared.lifecycle.track_call();
     let started = shared.now();
     let tenant = inbound::tenant(request.headers());
     let in_force = shared.in_force.load_full();
-    let host = request.uri().host().map(str::to_owned).or_else(|| {
-        let host = request.headers().get(http::header::HOST)?;
-        host.to_str().ok().map(str::to_owned)
-    });
-    let resolved = in_force.routes.find(
-        host.as_deref(),
-        request.method(),
-        request.uri().path(),
-        request.headers(),
-    );
+    let resolved = find_route(&in_force.routes, &request);
     let caller = call::caller_info(request.headers());
     let fractional = caller.id.is_some();
     let class = resolved.map_or("none", |resolved| resolved.route.class.into());
     let mut response = match resolved {
-        Some(resolved) => dispatch(&shared, Arc::clone(resolved), request, &caller).await,
+        Some(resolved) => dispatch(&shared, Arc::clone(resolved), request, &caller, read_at).await,
         None if shared.lifecycle.is_ready() => reject(RoutingError::NoRoute, fractional),
         None => reject(RoutingError::Starting, fractional),
     };
@@ -119,8 +140,9 @@
 async fn dispatch(
     shared: &Arc<Shared>,
     resolved: Arc<ResolvedRoute>,
-    request: Request<Incoming>,
+    request: Request<Option<Incoming>>,
     caller: &call::CallerInfo,
+    read_at: Option<Duration>,
 ) -> Response<Body> {
     let reject = |reason| reject(reason, caller.id.is_some());
     if !shared.lifecycle.is_ready() {
@@ -138,7 +160,9 @@
         return reject(RoutingError::NoService);
     };
     let (mut parts, body) = request.into_parts();
-    if body.size_hint().lower() > shared.settings.options.limits.body_bytes {
+    if body.as_ref().map_or(0, |body| body.size_hint().lower())
+        > shared.settings.options.limits.body_bytes
+    {
         return reject(RoutingError::BodySize);
     }
     let Some(payload) = accept_body(shared, body).await else {
@@ -149,12 +173,17 @@
     call::set_origin(&mut parts.headers, origin.as_ref().map(Name::as_str));
     header::set(&mut parts.headers, header::DEPTH, &(depth + 1).to_string());
     let now = shared.now();
+    let read_at = read_at.unwrap_or(now);
     let route_limit = Duration::from_millis(resolved.route.deadline_ms);
     let requested = header::millis(&parts.headers, &header::DEADLINE_MS);
     let requested = requested.or(caller.time_left).unwrap_or(route_limit);
-    let deadline = now + route_limit.min(requested);
+    let deadline = read_at + route_limit.min(requested);
     // A call accepted during a graceful shutdown must end before the process does.
     let deadline = shutdown.map_or(deadline, |shutdown| deadline.min(shutdown.respond_until));
+    if read_at < now && deadline <= now {
+        // It waited for its turn on the connection.
+        return reject(RoutingError::Late);
+    }
     let key = idempotency_key(&resolved, &parts.headers);
     let replayable = matches!(payload, Payload::Buffered(_));
     let waited = match caller.time_left {
@@ -162,7 +191,7 @@
         None => Duration::ZERO,
     };
     let target_latency = resolved.route.target_latency_ms.map(Duration::from_millis);
-    let useful_until = target_latency.map(|latency| now + latency.saturating_sub(waited));
+    let useful_until = target_latency.map(|latency| read_at + latency.saturating_sub(waited));
     let constraints = Constraints {
         repeatable: resolved.route.repeatable,
         keyed: key.is_some(),
@@ -184,10 +213,10 @@
 
 /// Buffers a small request body; holds a large one until a target has room for it.
 /// Returns `None` if a body that is read here is truncated or too slow.
-async fn accept_body(shared: &Shared, body: Incoming) -> Option<Payload> {
-    if body.is_end_stream() {
+async fn accept_body(shared: &Shared, body: Option<Incoming>) -> Option<Payload> {
+    let Some(body) = body.filter(|body| !body.is_end_stream()) else {
         return Some(Payload::Buffered(Bytes::new()));
-    }
+    };
     let limits = &shared.settings.options.limits;
     let max_pause = Duration::from_millis(limits.body_pause_ms);
     if body.size_hint().lower() >= LARGE_MESSAGE_BYTES as u64 {
--- a/crates/medlarpoint_daemon/src/server.rs
+++ b/crates/medlarpoint_daemon/src/server.rs
@@ -1,7 +1,10 @@
 //! Accepts connections of callers and of other daemons' outbound proxies.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use http::header::CONNECTION;
@@ -17,6 +20,8 @@
 
 use crate::body::Body;
 use crate::event::Event;
+use crate::pipeline::{CancelReason, ClosedByCaller, ReadAhead, TurnBody};
+use crate::settings::LimitOptions;
 use crate::state::Shared;
 use crate::{inbound, outbound};
 
@@ -81,13 +86,14 @@
 }
 
 /// Returns a service that passes requests to `handle`.
-fn service<F>(
+fn service<F, B>(
     shared: Arc<Shared>,
     request_received: Arc<Notify>,
     handle: impl Fn(Arc<Shared>, Request<Incoming>) -> F,
-) -> impl Service<Request<Incoming>, Response = Response<Body>, Error = Infallible, Future: Send + 'static>
+) -> impl Service<Request<Incoming>, Response = Response<B>, Error = Infallible, Future: Send + 'static>
 where
-    F: Future<Output = Response<Body>> + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: http_body::Body,
 {
     service_fn(move |request| {
         request_received.notify_one();
@@ -100,20 +106,71 @@
 /// Serves a call and closes the caller's connection after it if too many are idle.
 async fn serve_call(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
     let version = request.version();
-    let mut response = outbound::serve(Arc::clone(&shared), request).await;
+    let mut response = outbound::serve(Arc::clone(&shared), request.map(Some), None).await;
+    set_close(&shared, version, &mut response);
+    response
+}
+
+/// Makes a response close the caller's connection if too many are idle. Returns whether it
+/// does.
+fn set_close(shared: &Shared, version: Version, response: &mut Response<Body>) -> bool {
     let keeps_alive = shared.caller_connections.keeps_alive(shared.lifecycle.pending_calls());
-    if version == Version::HTTP_11 && !keeps_alive {
+    let closes = version == Version::HTTP_11 && !keeps_alive;
+    if closes {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    response
+    closes
+}
+
+/// Serves a call on a connection with read-ahead. The call may run already.
+async fn serve_turn(
+    shared: Arc<Shared>,
+    read_ahead: Arc<ReadAhead>,
+    request: Request<Incoming>,
+) -> Response<TurnBody> {
+    let version = request.version();
+    let turn = read_ahead.begin_turn(&request);
+    let early = match turn.early_call {
+        Some(call) => call.response().await,
+        None => None,
+    };
+    let mut response = match early {
+        Some(response) => response,
+        None => outbound::serve(Arc::clone(&shared), request.map(Some), turn.read_at).await,
+    };
+    if set_close(&shared, version, &mut response) {
+        // The caller gets no response to later requests on this connection.
+        read_ahead.stop(CancelReason::ConnectionClosed);
+    }
+    response.map(|body| TurnBody::new(body, read_ahead))
 }
 
 /// Serves the connection of a caller, over HTTP/1.1 or HTTP/2.
 async fn serve_caller(shared: &Arc<Shared>, stream: TcpStream) {
-    let limits = &shared.settings.options.limits;
     let request_received = Arc::new(Notify::new());
-    let service = service(Arc::clone(shared), Arc::clone(&request_received), serve_call);
     let _open = shared.caller_connections.track();
+    let builder = caller_server(&shared.settings.options.limits);
+    let stream = without_delay(stream);
+    if shared.settings.options.limits.pipelined_requests > 1 {
+        let (read_ahead, stream) = ReadAhead::wrap(shared, stream);
+        let serve = {
+            let read_ahead = Arc::clone(&read_ahead);
+            move |shared, request| serve_turn(shared, Arc::clone(&read_ahead), request)
+        };
+        let service = service(Arc::clone(shared), Arc::clone(&request_received), serve);
+        let connection = builder.serve_connection(TokioIo::new(stream), service);
+        let mut closed = ClosedByCaller::new(read_ahead.closed_by_caller());
+        drive(shared, connection, &request_received, |cx| read_ahead.poll(cx, &mut closed)).await;
+        read_ahead.stop(CancelReason::ConnectionEnded);
+    } else {
+        let service = service(Arc::clone(shared), Arc::clone(&request_received), serve_call);
+        let connection = builder.serve_connection(TokioIo::new(stream), service);
+        drive(shared, connection, &request_received, no_read_ahead).await;
+    }
+}
+
+/// Returns the server of callers' connections.
+fn caller_server(limits: &LimitOptions) -> auto::Builder<TokioExecutor> {
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
@@ -126,8 +183,7 @@
         .max_header_list_size(limits.head_bytes as u32)
         .max_concurrent_streams(MAX_CONCURRENT_STREAMS)
         .keep_alive_interval(Duration::from_secs(10));
-    let connection = builder.serve_connection(without_delay(stream), service);
-    drive(shared, connection, &request_received).await;
+    builder
 }
 
 /// Serves the connection of another daemon's outbound proxy, which uses HTTP/1.1.
@@ -140,23 +196,30 @@
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.head_timeout_ms))
         .max_buf_size(limits.head_bytes);
-    let connection = builder.serve_connection(without_delay(stream), service);
-    drive(shared, connection, &request_received).await;
+    let connection = builder.serve_connection(TokioIo::new(without_delay(stream)), service);
+    drive(shared, connection, &request_received, no_read_ahead).await;
 }
 
 /// Disables the delay of small segments on a stream.
-fn without_delay(stream: TcpStream) -> TokioIo<TcpStream> {
+fn without_delay(stream: TcpStream) -> TcpStream {
     // If the option cannot be set, responses are only slower.
     let _ = stream.set_nodelay(true);
-    TokioIo::new(stream)
+    stream
+}
+
+/// Reader of a connection without read-ahead.
+fn no_read_ahead(_: &mut Context<'_>) -> Poll<()> {
+    Poll::Pending
 }
 
 /// Runs a connection until it ends or the daemon closes. Once the daemon stops
-/// accepting calls, the connection ends after its current request.
+/// accepting calls, the connection ends after its current request. `read_ahead` is polled
+/// after the connection, and ends it by completing.
 async fn drive<C: GracefulConnection>(
     shared: &Arc<Shared>,
     connection: C,
     request_received: &Notify,
+    mut read_ahead: impl FnMut(&mut Context<'_>) -> Poll<()>,
 ) {
     tokio::pin!(connection);
     let last_request = async {
@@ -170,12 +233,24 @@
     };
     tokio::select! {
         // The peer notices a broken connection itself.
-        _ = connection.as_mut() => return,
+        () = poll_fn(|cx| poll_connection(connection.as_mut(), &mut read_ahead, cx)) => return,
         () = last_request => connection.as_mut().graceful_shutdown(),
         () = shared.lifecycle.wait_closed() => return,
     }
     tokio::select! {
-        _ = connection => {}
+        () = poll_fn(|cx| poll_connection(connection.as_mut(), &mut read_ahead, cx)) => {}
         () = shared.lifecycle.wait_closed() => {}
     }
 }
+
+/// Polls a connection, then its reader. Completes once either has ended.
+fn poll_connection<C: Future>(
+    connection: Pin<&mut C>,
+    read_ahead: &mut impl FnMut(&mut Context<'_>) -> Poll<()>,
+    cx: &mut Context<'_>,
+) -> Poll<()> {
+    if connection.poll(cx).is_ready() {
+        return Poll::Ready(());
+    }
+    read_ahead(cx)
+}
--- a/crates/medlarpoint_daemon/src/settings.rs
+++ b/crates/medlarpoint_daemon/src/settings.rs
@@ -168,6 +168,10 @@
     pub head_timeout_ms: u64,
     /// Maximum pause within a request body, in milliseconds.
     pub body_pause_ms: u64,
+    /// Number of unfinished requests that are read ahead on a connection of a caller.
+    /// Repeatable ones among them run at once. 1: each request is read after the response
+    /// to the one before.
+    pub pipelined_requests: usize,
     /// Rate of this VM's link, in megabits per second. Large responses are
     /// shaped to this rate so that they do not delay small ones. If absent, 0 or at
     /// least 100, responses are not shaped.
@@ -183,6 +187,7 @@
             body_bytes: 1 << 30,
             head_timeout_ms: 10_000,
             body_pause_ms: 10_000,
+            pipelined_requests: 1,
             link_megabits: None,
         }
     }
@@ -323,6 +328,7 @@
         if !self.limits.link_megabits.is_none_or(|rate| (0.0..=1e6).contains(&rate)) {
             return Err(value("limits.link_megabits", "is outside 0 to 1000000"));
         }
+        range("limits.pipelined_requests", self.limits.pipelined_requests as u64, 1, 256)?;
         range("limits.body_pause_ms", self.limits.body_pause_ms, 100, 600_000)?;
         range("membership.period_ms", self.membership.period_ms, 50, 60_000)?;
         range("membership.suspicion_ms", self.membership.suspicion_ms, 100, 600_000)?;
--- a/crates/medlarpoint_daemon/src/settings/tests.rs
+++ b/crates/medlarpoint_daemon/src/settings/tests.rs
@@ -38,6 +38,7 @@
         VALID.replace("[store]", "[store]\ntimeout_ms = 1"),
         VALID.replace("[store]", "[stores]"),
         format!("{VALID}[limits]\nhead_bytes = 10\n"),
+        format!("{VALID}[limits]\npipelined_requests = 0\n"),
         format!("{VALID}[log]\nformat = \"xml\"\n"),
         format!("{VALID}[api]\ntoken_env = \"MEDLARPOINT_NO_SUCH_VARIABLE\"\n"),
         format!("{VALID}[routing]\nstrategy = \"best\"\n"),
--- a/crates/medlarpoint_daemon/src/state.rs
+++ b/crates/medlarpoint_daemon/src/state.rs
@@ -32,6 +32,7 @@
 use crate::keep_alive::Connections;
 use crate::lifecycle::Lifecycle;
 use crate::log::Log;
+use crate::pipeline::EarlyCalls;
 use crate::pool::Pool;
 use crate::settings::Settings;
 use crate::slowdown::Slowdown;
@@ -191,6 +192,8 @@
     pub(crate) slowdown: Slowdown,
     /// Connections of callers.
     pub(crate) caller_connections: Connections,
+    /// Calls that were started before their turn on the connections of callers.
+    pub(crate) early_calls: EarlyCalls,
     /// Connections to other daemons.
     pub(crate) pool: Arc<Pool>,
     /// Connections to the target of this VM.
