Lend quotas of workspaces: allocator, purse, datagrams and driver

Cause: a quota holds over all daemons together, and most workspaces have callers on two or three of them only, so a fixed share per daemon admits too little.

Change: one daemon, by rendezvous hash among settled members, lends tokens that expire 0.5 s after they were asked for. A ledger of the last 5.5 s bounds what a bucket alone would admit beyond the required window. Suspected members do not count as reachable. Calls above the quota get 429. The outbound proxy does not identify workspaces yet, so nothing takes effect so far.

--- a/crates/medlarpoint_api/src/status.rs
+++ b/crates/medlarpoint_api/src/status.rs
@@ -109,6 +109,10 @@
     pub store: StoreStatus,
     /// All known data centres.
     pub data_centres: Vec<DataCentreStatus>,
+    /// Members that lend the tokens of workspaces with a quota, as the daemon sees them;
+    /// empty if no workspace has one.
+    #[serde(default)]
+    pub allocators: Vec<Vm>,
     /// Target of the daemon; absent if none has announced itself.
     pub target: Option<TargetStatus>,
 }
--- a/crates/medlarpoint_cli/src/output.rs
+++ b/crates/medlarpoint_cli/src/output.rs
@@ -9,7 +9,7 @@
     Activation, DataCentreState, DataCentreStatus, Explanation, History, HistoryEntry, Resources,
     Status,
 };
-use medlarpoint_model::{Resource, Version};
+use medlarpoint_model::{Resource, Version, Vm};
 use serde_json::Value;
 
 use crate::diff::{Difference, Relation};
@@ -120,6 +120,10 @@
             target.service, target.running, target.usable, target.queued,
         );
     }
+    if !status.allocators.is_empty() {
+        let allocators: Vec<&str> = status.allocators.iter().map(Vm::as_str).collect();
+        let _ = writeln!(text, "allocators of quotas: {}", allocators.join(", "));
+    }
     let _ = writeln!(text, "newest version: {}", status.newest);
     let width = status.data_centres.iter().map(|p| p.data_centre.as_str().len()).max();
     for data_centre in &status.data_centres {
--- a/crates/medlarpoint_daemon/src/api_response.rs
+++ b/crates/medlarpoint_daemon/src/api_response.rs
@@ -50,6 +50,7 @@
             reason: down.map(|(_, reason)| reason),
         },
         data_centres,
+        allocators: shared.quotas.allocators(),
         target: target(shared),
     }
 }
--- a/crates/medlarpoint_daemon/src/control.rs
+++ b/crates/medlarpoint_daemon/src/control.rs
@@ -19,7 +19,7 @@
 use crate::event::Event;
 use crate::state::{Control, InForce, Shared, lock};
 use crate::traffic::Counts;
-use crate::{peer, roles, services, suspects};
+use crate::{peer, quota, roles, services, suspects};
 
 /// Interval between ticks of the control plane.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -331,6 +331,13 @@
                 Body::Suspects { origin, suspects } => {
                     suspects::receive(self, &control, origin, suspects);
                 }
+                Body::QuotaRequest { boot, seq, known, wants } => {
+                    let request = quota::request_of(*boot, *seq, *known, wants);
+                    quota::on_request(self, &control, &frame.from, from, &request);
+                }
+                Body::QuotaGrant { boot, seq, loans } => {
+                    quota::on_grant(&self.shared, &quota::grant_of(*boot, *seq, loans));
+                }
                 Body::Receipt { version } => control.reporter.on_ack(&frame.from, *version),
                 Body::Indirect { .. } => {}
             }
--- a/crates/medlarpoint_daemon/src/daemon.rs
+++ b/crates/medlarpoint_daemon/src/daemon.rs
@@ -29,6 +29,7 @@
 use crate::lifecycle::{Lifecycle, Shutdown};
 use crate::log::Log;
 use crate::pool::Pool;
+use crate::quota::{self, Quotas};
 use crate::server::{self, Listener};
 use crate::settings::Settings;
 use crate::slowdown::Slowdown;
@@ -370,6 +371,7 @@
         target: Mutex::new(None),
         suspects: Mutex::default(),
         suspects_changed: Notify::new(),
+        quotas: Quotas::new(boot),
         target_run: Mutex::default(),
         target_check: tokio::sync::Mutex::default(),
         deregistrations: Mutex::default(),
@@ -415,5 +417,6 @@
     tokio::spawn(registry::run(Arc::clone(driver)));
     tokio::spawn(startup::catch_up(Arc::clone(driver)));
     tokio::spawn(suspects::run(Arc::clone(driver)));
+    tokio::spawn(quota::run(Arc::clone(driver)));
     tokio::spawn(target::run_maintenance(Arc::clone(driver)));
 }
--- a/crates/medlarpoint_daemon/src/event.rs
+++ b/crates/medlarpoint_daemon/src/event.rs
@@ -213,6 +213,15 @@
     /// No route matches a call, or this daemon cannot serve it.
     7007 Info CallUnroutable { id: String, reason: String, version: Version } => "call {id} not routed: {reason}, by {version}";
 
+    /// This daemon began to lend the tokens of workspaces with a quota. No token is lent in the first 0.8 s, since the previous allocator may still lend.
+    7201 Info AllocatorBegan { workspaces: usize, reachable: u32, known: u32 } => "allocator of {workspaces} workspaces, {reachable} of {known} members reachable";
+    /// This daemon no longer lends tokens of workspaces.
+    7202 Info AllocatorEnded {} => "no longer an allocator";
+    /// Calls of a workspace are rejected because its quota is used up. Logged at most once a second per workspace and daemon.
+    7203 Info WorkspaceAtQuota { workspace: Name, rejected: u64, retry_ms: u64 } => "workspace {workspace} is at its quota: {rejected} calls rejected since the last such line, retry in {retry_ms} ms";
+    /// A call was rejected by the quota of its workspace. The cause is `at-quota`, or `no-grant` if no allocator responded in time.
+    7204 Info CallOverQuota { id: String, workspace: Name, cause: String, retry_ms: u64, allocator: String } => "call {id} of workspace {workspace} rejected: {cause}, retry in {retry_ms} ms, allocator {allocator}";
+
     /// A listener of the operators' API failed.
     6001 Error ApiFailed { reason: String } => "the operators' API failed: {reason}";
 }
--- a/crates/medlarpoint_daemon/src/lib.rs
+++ b/crates/medlarpoint_daemon/src/lib.rs
@@ -32,6 +32,7 @@
 mod peer;
 mod platform_endpoints;
 mod pool;
+mod quota;
 mod registry;
 mod reload;
 mod reports;
--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
 use hyper::body::{Body as _, Incoming};
-use medlarpoint_model::{Class, Name};
+use medlarpoint_model::{Class, Name, Workspace};
 use medlarpoint_platform::call;
 use medlarpoint_routing::{
     Constraints, FailurePoint, IdempotencyKey, LARGE_MESSAGE_BYTES, Outcome, ResolvedRoute,
@@ -19,7 +19,7 @@
 use crate::outbound_call::{OutboundCall, Payload};
 use crate::outbound_response::{call_id, set_retry_after};
 use crate::state::{ServiceState, Shared, lock};
-use crate::{header, inbound};
+use crate::{header, inbound, quota};
 
 /// Retry delay suggested to a caller whose call is rejected with status 503: about
 /// the time that membership takes to learn of a new target.
@@ -93,7 +93,9 @@
     };
     // A point that is not a `FailurePoint` is a `RoutingError`.
     let point = header::parse::<FailurePoint>(response.headers(), &header::POINT);
-    if let (Some(reason), None) = (response.headers().get(&header::POINT), point) {
+    let is_logged = response.status() == StatusCode::TOO_MANY_REQUESTS;
+    if let (Some(reason), None, false) = (response.headers().get(&header::POINT), point, is_logged)
+    {
         let reason = reason.to_str().unwrap_or_default().to_owned();
         let version = in_force.snapshot.version;
         let id = call_id(caller.id.as_ref());
@@ -178,8 +180,15 @@
         query_after: QUERY_AFTER,
     };
     credit_budgets(shared, &service, &resolved);
-    let shared = Arc::clone(shared);
-    OutboundCall::new(shared, service, resolved, parts, payload, key, constraints).run().await
+    // Quota of the workspace.
+    let workspace: Option<Arc<Workspace>> = None;
+    let admitted = match quota::admit_call(shared, workspace.as_ref(), caller.id.as_ref()).await {
+        Ok(admitted) => admitted,
+        Err(rejected) => return rejected.into_response(caller.id.is_some()),
+    };
+    let call =
+        OutboundCall::new(Arc::clone(shared), service, resolved, parts, payload, key, constraints);
+    admitted.settle(shared, call.run().await)
 }
 
 /// Buffers a small request body; holds a large one until a target has room for it.
--- a/crates/medlarpoint_daemon/src/registry.rs
+++ b/crates/medlarpoint_daemon/src/registry.rs
@@ -170,6 +170,7 @@
             }
         }
     }
+    shared.quotas.record_listing(records.iter().map(|record| record.vm.clone()).collect());
     Ok(records)
 }
 
--- a/crates/medlarpoint_daemon/src/roles.rs
+++ b/crates/medlarpoint_daemon/src/roles.rs
@@ -27,7 +27,7 @@
     let table = control.detector.table();
     let position = match role {
         Role::Gateway => gateway_rank(control),
-        Role::Relay | Role::Reader | Role::Reporter | Role::Registrar => rank(
+        Role::Relay | Role::Reader | Role::Reporter | Role::Registrar | Role::Allocator => rank(
             role,
             &own_record.vm,
             table.live_in(&own_record.data_centre).map(|record| &record.vm),
--- a/crates/medlarpoint_daemon/src/state.rs
+++ b/crates/medlarpoint_daemon/src/state.rs
@@ -1,7 +1,7 @@
 //! State shared by the tasks of a daemon.
 //!
 //! Lock order: `control`, then `services`, then a service's picker, budgets
-//! or hedges, then `intake`, then `waiters`. `suspects` is locked last. `target`, `target_run`, `deregistrations` and
+//! or hedges, then `intake`, then `waiters`. `suspects` is locked last, as is each lock of `quotas`. `target`, `target_run`, `deregistrations` and
 //! `wait_estimator` are not held together with any other lock. No lock is held across
 //! an await except `claim_lease`, which lets one task at a time request a lease, and
 //! `target_check`, which lets one task at a time connect to the target.
@@ -33,6 +33,7 @@
 use crate::lifecycle::Lifecycle;
 use crate::log::Log;
 use crate::pool::Pool;
+use crate::quota::Quotas;
 use crate::settings::Settings;
 use crate::slowdown::Slowdown;
 use crate::traffic::Traffic;
@@ -174,6 +175,8 @@
     pub(crate) suspects: Mutex<Suspects>,
     /// Wakes the task that broadcasts changes of `suspects`.
     pub(crate) suspects_changed: Notify,
+    /// Tokens that this daemon borrows and lends.
+    pub(crate) quotas: Quotas,
     /// Calls that the current process of the target has begun.
     pub(crate) target_run: Mutex<TargetRun>,
     /// Time of the last connection to the target, on the local clock, that was not refused
--- /dev/null
+++ b/crates/medlarpoint_membership/src/allocator.rs
@@ -0,0 +1,99 @@
+//! The members that lend the tokens of workspaces with a quota.
+
+use std::time::Duration;
+
+use medlarpoint_model::{Name, Vm};
+use medlarpoint_wire::{Record, Status};
+
+use crate::{Role, Table, ranked};
+
+/// Number of members that one allocator lends to, which bounds its messages.
+const MEMBERS_PER_ALLOCATOR: usize = 256;
+
+/// The allocators as one member sees them.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Allocators {
+    /// Records of the allocators, by rank.
+    pub holders: Vec<Record>,
+    /// Number of members that respond to probes, including the local one. Suspected members
+    /// do not count, since in a partition the other side may already have an allocator when
+    /// they are declared dead.
+    pub reachable: u32,
+    /// Number of members that have not left, including dead ones until their tombstones
+    /// expire.
+    pub known: u32,
+}
+
+impl Allocators {
+    /// Determines the allocators. Members count once they have been live for `settling`. If
+    /// this holds for less than half of them, the local table is new and does not tell for
+    /// how long the others have been live; all of them count then, except for the local one.
+    pub fn of(table: &Table, local: &Vm, now: Duration, settling: Duration) -> Self {
+        let members = || table.members().filter(|member| member.record.is_live());
+        let settled = |member: &&crate::Member| now.saturating_sub(member.live_since) >= settling;
+        let mut candidates: Vec<&Record> =
+            members().filter(settled).map(|member| &member.record).collect();
+        let live = members().count();
+        if candidates.len() * 2 < live {
+            let others = members().filter(|member| member.record.vm != *local);
+            candidates = others.map(|member| &member.record).collect();
+        }
+        let count = live.div_ceil(MEMBERS_PER_ALLOCATOR);
+        let holders = ranked(Role::Allocator, candidates.iter().map(|record| &record.vm), count);
+        let holders = holders.into_iter().filter_map(|vm| Some(table.get(vm)?.record.clone()));
+        let counted = |wanted: fn(Status) -> bool| {
+            table.members().filter(|member| wanted(member.record.status)).count() as u32
+        };
+        Self {
+            holders: holders.collect(),
+            reachable: counted(|status| status == Status::Alive),
+            known: counted(|status| status != Status::Left),
+        }
+    }
+
+    /// Returns the allocator that is responsible for a workspace.
+    pub fn holder(&self, workspace: &Name) -> Option<&Record> {
+        self.holders.iter().min_by_key(|record| (weight(workspace, &record.vm), &record.vm))
+    }
+}
+
+/// Whether the local table may be relied on for the number of known members.
+///
+/// A daemon that has restarted on the smaller side of a partition does not know the members
+/// of the other side, and would lend entire quotas. Some members keep an entry in the store;
+/// if one of them is unknown here, the daemon does not lend.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Trust {
+    /// Members with an entry, once they have been listed.
+    registered: Option<Vec<Vm>>,
+    /// Whether the table once held all of them. It keeps dead members from then on.
+    established: bool,
+}
+
+impl Trust {
+    /// Records the members that have an entry in the store.
+    pub fn on_listing(&mut self, registered: Vec<Vm>) {
+        self.registered = Some(registered);
+    }
+
+    /// Returns whether this daemon may lend. Without a listing, another live member has to
+    /// be known.
+    pub fn may_lend(&mut self, table: &Table, local: &Vm) -> bool {
+        self.established = self.established
+            || match &self.registered {
+                Some(registered) => registered.iter().all(|vm| table.get(vm).is_some()),
+                None => table.live().any(|record| record.vm != *local),
+            };
+        self.established
+    }
+}
+
+fn weight(workspace: &Name, vm: &Vm) -> u64 {
+    let mut bytes = workspace.as_str().as_bytes().to_vec();
+    bytes.push(0);
+    bytes.extend_from_slice(vm.as_str().as_bytes());
+    rapidhash::v3::rapidhash_v3(&bytes)
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/medlarpoint_membership/src/detector.rs
+++ b/crates/medlarpoint_membership/src/detector.rs
@@ -262,6 +262,8 @@
             | Body::Fresh { .. }
             | Body::Report { .. }
             | Body::Suspects { .. }
+            | Body::QuotaRequest { .. }
+            | Body::QuotaGrant { .. }
             | Body::Receipt { .. } => {}
         }
         actions
--- a/crates/medlarpoint_membership/src/lib.rs
+++ b/crates/medlarpoint_membership/src/lib.rs
@@ -5,6 +5,7 @@
 //! who holds a role ([`rank`]), work is duplicated but never wrong. [`Reporter`]
 //! summarises which version a data centre has in force.
 
+pub mod allocator;
 pub mod broadcast;
 mod deregistrations;
 mod detector;
--- a/crates/medlarpoint_membership/src/member.rs
+++ b/crates/medlarpoint_membership/src/member.rs
@@ -11,4 +11,7 @@
     pub record: Record,
     /// Time of the last change of liveness, on the local clock.
     pub status_since: Duration,
+    /// Time since which the member has been live without a break, on the local clock; of no
+    /// meaning if it is not live.
+    pub live_since: Duration,
 }
--- a/crates/medlarpoint_membership/src/role.rs
+++ b/crates/medlarpoint_membership/src/role.rs
@@ -17,6 +17,8 @@
     Reporter,
     /// Keeps an entry in the store, by which daemons that start find its data centre.
     Registrar,
+    /// Lends the tokens of workspaces with a quota.
+    Allocator,
 }
 
 fn weight(role: Role, vm: &Vm) -> u64 {
--- a/crates/medlarpoint_membership/src/table.rs
+++ b/crates/medlarpoint_membership/src/table.rs
@@ -62,7 +62,7 @@
             if !record.is_live() {
                 return Merged::Unchanged;
             }
-            let member = Member { record: record.clone(), status_since: now };
+            let member = Member { record: record.clone(), status_since: now, live_since: now };
             self.members.insert(record.vm.clone(), member);
             return Merged::New;
         };
@@ -73,6 +73,9 @@
         if before != record.status {
             member.status_since = now;
         }
+        if !member.record.is_live() {
+            member.live_since = now;
+        }
         member.record = record.clone();
         Merged::Replaced(before)
     }
--- a/crates/medlarpoint_routing/src/lib.rs
+++ b/crates/medlarpoint_routing/src/lib.rs
@@ -23,6 +23,7 @@
 mod outcome;
 mod picker;
 mod priority;
+pub mod quota;
 mod request_link;
 mod route_table;
 mod scheduler;
--- a/crates/medlarpoint_wire/src/datagram.rs
+++ b/crates/medlarpoint_wire/src/datagram.rs
@@ -3,7 +3,7 @@
 use medlarpoint_model::{Version, Vm};
 use serde::{Deserialize, Serialize};
 
-use crate::{BootId, DataCentreSummary, Record, Suspect, TableDigest, Tip};
+use crate::{BootId, DataCentreSummary, QuotaLoan, QuotaWant, Record, Suspect, TableDigest, Tip};
 
 /// State that is piggybacked on probes and their acknowledgements.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -117,4 +117,33 @@
         #[serde(rename = "v")]
         version: Version,
     },
+    /// Asks an allocator for tokens of workspaces with a quota.
+    #[serde(rename = "l")]
+    QuotaRequest {
+        /// Run of the sender.
+        #[serde(rename = "b")]
+        boot: BootId,
+        /// Number of the request, rising within one run.
+        #[serde(rename = "q")]
+        seq: u64,
+        /// Number of members that the sender knows of, including dead ones.
+        #[serde(rename = "k")]
+        known: u32,
+        /// What is wanted, by workspace.
+        #[serde(rename = "w")]
+        wants: Vec<QuotaWant>,
+    },
+    /// Answers a [`Body::QuotaRequest`].
+    #[serde(rename = "m")]
+    QuotaGrant {
+        /// Run of the daemon that asked.
+        #[serde(rename = "b")]
+        boot: BootId,
+        /// Number of the request.
+        #[serde(rename = "q")]
+        seq: u64,
+        /// Tokens that are lent, by workspace.
+        #[serde(rename = "t")]
+        loans: Vec<QuotaLoan>,
+    },
 }
--- a/crates/medlarpoint_wire/src/lib.rs
+++ b/crates/medlarpoint_wire/src/lib.rs
@@ -6,6 +6,7 @@
 mod config;
 mod datagram;
 mod frame;
+mod quota;
 mod record;
 mod summary;
 mod suspect;
@@ -16,6 +17,7 @@
 pub use frame::{
     DecodeError, EncodeError, Frame, MAX_DATAGRAM_BYTES, PROTOCOL_VERSION, decode, encode,
 };
+pub use quota::{QuotaLoan, QuotaReturn, QuotaWant};
 pub use record::{Announcement, BootId, Incarnation, LatencyBucket, Readiness, Record, Status};
 pub use summary::{DataCentreSummary, Laggard};
 pub use suspect::Suspect;
