--- a/crates/medlarpoint_daemon/src/lib.rs
+++ b/crates/medlarpoint_daemon/src/lib.rs
@@ -33,6 +33,7 @@
 mod pipeline;
 mod platform_endpoints;
 mod pool;
+mod quota;
 mod registry;
 mod reload;
 mod reports;
--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -20,8 +20,7 @@
 use crate::outbound_call::{OutboundCall, Payload, Routed};
 use crate::outbound_response::{call_id, set_retry_after};
 use crate::state::{ServiceState, Shared, lock};
-use crate::workspace;
-use crate::{header, inbound};
+use crate::{header, inbound, quota, workspace};
 
 /// Retry delay suggested to a caller whose call is rejected with status 503: about
 /// the time that membership takes to learn of a new target.
@@ -127,7 +126,9 @@
     };
     // A point that is not a `FailurePoint` is a `RoutingError`.
     let point = header::parse::<FailurePoint>(response.headers(), &header::POINT);
-    if let (Some(reason), None) = (response.headers().get(&header::POINT), point) {
+    let is_logged = response.status() == StatusCode::TOO_MANY_REQUESTS;
+    if let (Some(reason), None, false) = (response.headers().get(&header::POINT), point, is_logged)
+    {
         let reason = reason.to_str().unwrap_or_default().to_owned();
         let version = in_force.snapshot.version;
         let id = call_id(caller.id.as_ref());
@@ -221,9 +222,13 @@
         query_after: QUERY_AFTER,
     };
     credit_budgets(shared, &service, &resolved);
-    let shared = Arc::clone(shared);
+    let admitted = match quota::admit_call(shared, workspace.as_ref(), caller.id.as_ref()).await {
+        Ok(admitted) => admitted,
+        Err(rejected) => return rejected.into_response(caller.id.is_some()),
+    };
     let routed = Routed { service, resolved, workspace };
-    OutboundCall::new(shared, routed, parts, payload, key, constraints).run().await
+    let call = OutboundCall::new(Arc::clone(shared), routed, parts, payload, key, constraints);
+    admitted.settle(shared, call.run().await)
 }
 
 /// Buffers a small request body; holds a large one until a target has room for it.
