Share slots fairly among workspaces also for calls with a due date

Cause: calls with a due date were served earliest due date first whatever their tenant.

Change: the calls of workspaces with a due date have a flow for each workspace. The earliest due date decides among the flows within their share, which may catch up by 16 calls; the others get the slots that these leave. Calls without a workspace are one flow that weighs as much as all workspaces together; without workspaces the order is by due date alone, as before. Calls of a workspace without a due date are due at their deadline. The identifier type Tenant is now WorkspaceName.

Tested: unit and integration tests of medlarpoint_routing; its scheduler model test now draws workspaces as well.

--- a/crates/medlarpoint_bench/src/fuzz/calls.rs
+++ b/crates/medlarpoint_bench/src/fuzz/calls.rs
@@ -348,6 +348,7 @@
             boot: destination.boot,
             class: if request.long { Class::Long } else { Class::Short },
             tenant: name("t"),
+            in_workspace: false,
             weight: 1,
             rank: 1,
             route: "k".parse().expect("a valid literal"),
--- a/crates/medlarpoint_daemon/src/inbound.rs
+++ b/crates/medlarpoint_daemon/src/inbound.rs
@@ -280,6 +280,7 @@
         class,
         weight: weight.unwrap_or(1),
         tenant: tenant.0,
+        in_workspace: headers.contains_key(&header::WORKSPACE),
         rank: header::parse(headers, &header::RANK).unwrap_or(DEFAULT_RANK),
         route,
         body_bytes,
@@ -311,7 +312,7 @@
 
 /// Returns the workspace of a call if the outbound proxy has identified one, or else the
 /// tenant that the caller states; `unnamed` if there is neither.
-pub(crate) fn tenant(headers: &HeaderMap) -> medlarpoint_model::Tenant {
+pub(crate) fn tenant(headers: &HeaderMap) -> medlarpoint_model::WorkspaceName {
     let workspace = header::parse(headers, &header::WORKSPACE);
     let named = workspace.or_else(|| header::parse(headers, &header::TENANT));
     named.unwrap_or_else(|| "unnamed".parse().expect("a valid literal"))
--- a/crates/medlarpoint_model/src/identifier.rs
+++ b/crates/medlarpoint_model/src/identifier.rs
@@ -1,4 +1,4 @@
-//! Identifiers of VMs, data centres, regions and tenants.
+//! Identifiers of VMs, data centres, regions and workspaces.
 
 use std::fmt;
 use std::str::FromStr;
@@ -53,6 +53,6 @@
     Region
 );
 identifier!(
-    /// A customer on whose behalf calls are made.
-    Tenant
+    /// Name of a workspace: a customer on whose behalf calls are made.
+    WorkspaceName
 );
--- a/crates/medlarpoint_model/src/lib.rs
+++ b/crates/medlarpoint_model/src/lib.rs
@@ -24,7 +24,7 @@
 pub use digest::Digest;
 pub use document::{Document, Format};
 pub use fingerprint::{BodyIdentity, CallIdentity, Fingerprint};
-pub use identifier::{DataCentre, Region, Tenant, Vm};
+pub use identifier::{DataCentre, Region, Vm, WorkspaceName};
 pub use name::{InvalidName, Name};
 pub use policy::Policy;
 pub use resource::{Entry, Key, Kind, Resource};
--- a/crates/medlarpoint_model/src/policy.rs
+++ b/crates/medlarpoint_model/src/policy.rs
@@ -4,7 +4,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-use crate::{Name, Tenant};
+use crate::{Name, WorkspaceName};
 
 /// Limits and budgets for calls to a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
@@ -24,9 +24,9 @@
     /// Slow-start period over which the usable slots of a new target rise to their
     /// full number, in milliseconds.
     pub ramp_ms: u64,
-    /// Weight of each tenant in the queue; tenants not listed have weight 1.
+    /// Weight of each workspace in the queue; workspaces not listed have weight 1.
     #[serde(skip_serializing_if = "IndexMap::is_empty")]
-    pub tenant_weights: IndexMap<Tenant, u16>,
+    pub tenant_weights: IndexMap<WorkspaceName, u16>,
 }
 
 impl Default for Policy {
--- a/crates/medlarpoint_routing/src/attempt.rs
+++ b/crates/medlarpoint_routing/src/attempt.rs
@@ -65,6 +65,8 @@
     pub class: Class,
     /// Tenant on whose behalf the call is made.
     pub tenant: Name,
+    /// Whether the tenant is a workspace.
+    pub in_workspace: bool,
     /// Weight of the tenant in fair scheduling.
     pub weight: u16,
     /// Route of the call. Calls of one route have similar service times.
--- a/crates/medlarpoint_routing/src/fair/tests.rs
+++ b/crates/medlarpoint_routing/src/fair/tests.rs
@@ -12,6 +12,7 @@
         attempt: AttemptId(id),
         class: Class::Short,
         tenant: tenant.parse().unwrap(),
+        in_workspace: false,
         weight,
         rank: 1,
         route: "k".parse().expect("a valid literal"),
--- a/crates/medlarpoint_routing/src/forecast/tests.rs
+++ b/crates/medlarpoint_routing/src/forecast/tests.rs
@@ -21,6 +21,7 @@
         attempt: AttemptId(1),
         class: Class::Short,
         tenant: name("t"),
+        in_workspace: false,
         weight: 1,
         rank: 1,
         route: name(route),
--- a/crates/medlarpoint_routing/src/intake.rs
+++ b/crates/medlarpoint_routing/src/intake.rs
@@ -518,6 +518,7 @@
         attempt: info.attempt,
         class: info.class,
         tenant: info.tenant.clone(),
+        in_workspace: info.in_workspace,
         weight: info.weight,
         route: info.route.clone(),
         body_bytes: info.body_bytes,
--- a/crates/medlarpoint_routing/src/intake/tests.rs
+++ b/crates/medlarpoint_routing/src/intake/tests.rs
@@ -30,6 +30,7 @@
         boot: BOOT,
         class: Class::Short,
         tenant: "t".parse().unwrap(),
+        in_workspace: false,
         weight: 1,
         body_bytes: 0,
         rank: 1,
--- a/crates/medlarpoint_routing/src/lib.rs
+++ b/crates/medlarpoint_routing/src/lib.rs
@@ -12,6 +12,7 @@
 mod candidate;
 mod departures;
 mod fair;
+mod fair_due;
 mod fence;
 mod finished;
 mod forecast;
--- a/crates/medlarpoint_routing/src/priority.rs
+++ b/crates/medlarpoint_routing/src/priority.rs
@@ -2,12 +2,13 @@
 //!
 //! Calls are ordered by rank, then calls that can still finish in time
 //! precede late ones. Within one priority they are served earliest due date
-//! first, or fairly among tenants if they have no due date.
+//! first, with a fair share for each workspace, or fairly among tenants if they
+//! have no due date.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::{AttemptId, Ticket, fair};
+use crate::{AttemptId, Ticket, fair, fair_due};
 
 /// Priority of a queued call; the lowest value goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -18,33 +19,36 @@
     pub(crate) late: bool,
 }
 
-/// Sort key among the calls of one priority: due date, then attempt id.
-type SortKey = (Duration, AttemptId);
-
 /// Calls of one priority.
 ///
 /// Calls with a time up to which their response is of full use are served
 /// earliest due date first, so that short calls, which running calls may be
-/// waiting for, overtake longer ones of the same rank. The others go through a
-/// fair queue among tenants.
+/// waiting for, overtake longer ones of the same rank, unless their workspace has had
+/// more than its share. The others go through a fair queue among tenants.
 #[derive(Clone, Debug, Default)]
 struct Level {
-    due: BTreeMap<SortKey, Ticket>,
+    due: fair_due::Queue,
     fair: fair::Queue,
 }
 
 /// Queue with one level per priority.
 ///
-/// Invariant: no level is empty.
+/// Invariant: a level without tickets remembers the shares that workspaces have had there,
+/// until the whole queue is empty. There is at most one for each rank, in time and late.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Queue {
     levels: BTreeMap<Priority, Level>,
 }
 
-/// Returns the due date of a ticket at a priority; `None` if it has none.
+/// Returns the due date of a ticket at a priority; `None` if it has none. A call of a
+/// workspace is due at its deadline at the latest, so that all calls of the workspace count
+/// towards one share.
 fn due(priority: Priority, ticket: &Ticket) -> Option<Duration> {
-    let useful = ticket.useful_until?;
-    Some(if priority.late { ticket.deadline } else { useful })
+    match ticket.useful_until {
+        Some(useful) if !priority.late => Some(useful),
+        None if !ticket.in_workspace => None,
+        _ => Some(ticket.deadline),
+    }
 }
 
 impl Level {
@@ -54,44 +58,39 @@
 
     fn push(&mut self, priority: Priority, ticket: Ticket) {
         match due(priority, &ticket) {
-            Some(due) => {
-                self.due.insert((due, ticket.attempt), ticket);
-            }
+            Some(due) => self.due.push(due, ticket),
             None => self.fair.push(ticket),
         }
     }
 
-    fn pop(&mut self, eligible: impl Fn(&Ticket) -> bool) -> Option<Ticket> {
-        let first = self.due.iter().find(|(_, ticket)| eligible(ticket));
-        match first.map(|(key, _)| *key) {
-            Some(key) => self.due.remove(&key),
-            None => self.fair.pop(eligible),
-        }
+    fn pop(
+        &mut self,
+        eligible: impl Fn(&Ticket) -> bool,
+        is_served: impl Fn(&Ticket) -> bool,
+    ) -> Option<Ticket> {
+        self.due.pop(&eligible, is_served).or_else(|| self.fair.pop(eligible))
     }
 
     fn iter(&self) -> impl Iterator<Item = &Ticket> {
-        self.due.values().chain(self.fair.iter())
+        self.due.iter().chain(self.fair.iter())
     }
 
     /// Iterates over the tickets with a due date that precede `newcomer`;
     /// those in the fair queue are not included.
     fn before(&self, priority: Priority, newcomer: &Ticket) -> impl Iterator<Item = &Ticket> {
-        let due = due(priority, newcomer).unwrap_or(Duration::MAX);
-        self.due.range(..(due, newcomer.attempt)).map(|(_, ticket)| ticket)
+        let (all, first) = match due(priority, newcomer) {
+            Some(due) => (None, Some(self.due.before(due, newcomer))),
+            None => (Some(self.due.iter()), None),
+        };
+        all.into_iter().flatten().chain(first.into_iter().flatten())
     }
 
     fn remove(&mut self, attempt: AttemptId) -> Option<Ticket> {
-        let key = self.due.keys().find(|(_, id)| *id == attempt).copied();
-        match key {
-            Some(key) => self.due.remove(&key),
-            None => self.fair.remove(attempt),
-        }
+        self.due.remove(attempt).or_else(|| self.fair.remove(attempt))
     }
 
     fn extract(&mut self, predicate: impl Fn(&Ticket) -> bool) -> Vec<Ticket> {
-        let keys: Vec<SortKey> =
-            self.due.iter().filter(|(_, ticket)| predicate(ticket)).map(|(key, _)| *key).collect();
-        let mut taken: Vec<Ticket> = keys.iter().filter_map(|key| self.due.remove(key)).collect();
+        let mut taken = self.due.extract(&predicate);
         taken.extend(self.fair.extract(predicate));
         taken
     }
@@ -136,7 +135,7 @@
             return earlier;
         };
         let same = level.before(priority, newcomer).filter(counts).count();
-        if newcomer.useful_until.is_some() {
+        if due(priority, newcomer).is_some() {
             return earlier + same;
         }
         earlier + same + level.fair.iter().filter(counts).count()
@@ -166,8 +165,10 @@
     ) -> Option<Ticket> {
         loop {
             let mut levels = self.levels.iter_mut();
-            let next =
-                levels.find_map(|(priority, level)| Some((*priority, level.pop(&eligible)?)));
+            let next = levels.find_map(|(priority, level)| {
+                let is_served = |ticket: &Ticket| priority.late || in_time(ticket);
+                Some((*priority, level.pop(&eligible, is_served)?))
+            });
             let (priority, ticket) = next?;
             self.remove_empty_levels();
             if priority.late || in_time(&ticket) {
@@ -181,12 +182,17 @@
     /// would be served last or, if that has the priority of `newcomer`, one of
     /// a tenant with more than its share.
     pub(crate) fn displace(&mut self, priority: Priority, newcomer: &Ticket) -> Option<Ticket> {
-        let (last, level) = self.levels.iter_mut().next_back()?;
+        let mut levels = self.levels.iter_mut();
+        let (last, level) = levels.rfind(|(_, level)| level.len() > 0)?;
         let displaced = match (*last).cmp(&priority) {
-            std::cmp::Ordering::Greater => {
-                level.fair.pop_newest().or_else(|| level.due.pop_last().map(|(_, ticket)| ticket))
+            std::cmp::Ordering::Greater => level.fair.pop_newest().or_else(|| level.due.pop_last()),
+            std::cmp::Ordering::Equal => {
+                let undated = level.fair.displace(&newcomer.tenant, newcomer.weight);
+                match undated {
+                    None if due(priority, newcomer).is_some() => level.due.displace(newcomer),
+                    undated => undated,
+                }
             }
-            std::cmp::Ordering::Equal => level.fair.displace(&newcomer.tenant, newcomer.weight),
             std::cmp::Ordering::Less => None,
         };
         self.remove_empty_levels();
@@ -207,7 +213,9 @@
     }
 
     fn remove_empty_levels(&mut self) {
-        self.levels.retain(|_, level| level.len() > 0);
+        let is_empty = self.len() == 0;
+        let is_forgotten = |level: &Level| is_empty || level.due.is_forgotten();
+        self.levels.retain(|_, level| level.len() > 0 || !is_forgotten(level));
     }
 }
 
--- a/crates/medlarpoint_routing/src/priority/tests.rs
+++ b/crates/medlarpoint_routing/src/priority/tests.rs
@@ -12,6 +12,7 @@
         attempt: AttemptId(id),
         class: Class::Short,
         tenant: "t".parse().unwrap(),
+        in_workspace: false,
         weight: 1,
         rank: 1,
         route: "k".parse().unwrap(),
--- a/crates/medlarpoint_routing/src/scheduler.rs
+++ b/crates/medlarpoint_routing/src/scheduler.rs
@@ -28,6 +28,9 @@
     pub class: Class,
     /// Tenant on whose share of the slots the call counts.
     pub tenant: Name,
+    /// Whether the tenant is a workspace. The calls of a workspace get its share of the slots
+    /// also if they have a due date.
+    pub in_workspace: bool,
     /// Weight of the tenant.
     pub weight: u16,
     /// Rank when slots are short; 0 goes first.
--- a/crates/medlarpoint_routing/src/scheduler/tests.rs
+++ b/crates/medlarpoint_routing/src/scheduler/tests.rs
@@ -25,6 +25,7 @@
         attempt: AttemptId(id),
         class,
         tenant: "t".parse().unwrap(),
+        in_workspace: false,
         weight: 1,
         rank: 1,
         route: route(),
--- a/crates/medlarpoint_routing/tests/named_limit.rs
+++ b/crates/medlarpoint_routing/tests/named_limit.rs
@@ -60,6 +60,7 @@
             attempt: AttemptId(self.arrived),
             class: Class::Short,
             tenant: "unnamed".parse().unwrap(),
+            in_workspace: false,
             weight: 1,
             rank: 2,
             route: route(),
--- a/crates/medlarpoint_routing/tests/narrow_link.rs
+++ b/crates/medlarpoint_routing/tests/narrow_link.rs
@@ -139,6 +139,7 @@
             attempt: AttemptId(u128::from(self.sequence)),
             class: Class::Short,
             tenant: "t".parse().expect("a valid literal"),
+            in_workspace: false,
             weight: 1,
             rank,
             route: route(kind),
--- a/crates/medlarpoint_routing/tests/scheduler.rs
+++ b/crates/medlarpoint_routing/tests/scheduler.rs
@@ -59,6 +59,7 @@
             attempt: AttemptId(u128::from(self.arrived)),
             class: Class::Short,
             tenant: name(if self.rng.random_bool(0.5) { "a" } else { "b" }),
+            in_workspace: self.rng.random_bool(0.5),
             weight: 1,
             body_bytes: 0,
             rank: self.rng.random_range(0..3),
