--- a/crates/medlarpoint_daemon/src/control.rs
+++ b/crates/medlarpoint_daemon/src/control.rs
@@ -19,7 +19,7 @@
 use crate::event::Event;
 use crate::state::{Control, InForce, Shared, lock};
 use crate::traffic::Counts;
-use crate::{peer, roles, services, suspects};
+use crate::{peer, roles, services, suspects, workspace};
 
 /// Interval between ticks of the control plane.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -184,7 +184,8 @@
     fn put_into_force(&self, control: &mut Control, from: &str, deltas: &[Arc<Delta>]) {
         let snapshot = Arc::clone(control.replica.current());
         let version = snapshot.version;
-        self.shared.in_force.store(Arc::new(InForce::new(snapshot)));
+        let in_force = Arc::new(InForce::new(snapshot));
+        let previous = self.shared.in_force.swap(Arc::clone(&in_force));
         control.applied_ms = wall_ms();
         control.history.add(deltas);
         let tip = control.replica.tip();
@@ -192,6 +193,7 @@
         control.pulls.set_tip(tip);
         control.freshness.set_version(version);
         self.shared.emit(&Event::Applied { version, from: from.to_owned() });
+        workspace::report_key_changes(&self.shared, &previous, &in_force);
         metrics::counter!("medlarpoint_versions_applied_total").increment(1);
         metrics::gauge!("medlarpoint_version").set(version.0 as f64);
         self.refresh_policy();
--- a/crates/medlarpoint_daemon/src/daemon.rs
+++ b/crates/medlarpoint_daemon/src/daemon.rs
@@ -34,6 +34,7 @@
 use crate::slowdown::Slowdown;
 use crate::state::{Control, InForce, Reloadable, Shared, lock};
 use crate::traffic::{Counts, Traffic};
+use crate::workspace::Labels;
 use crate::{
     api, api_response, peer, platform_endpoints, registry, reload, startup, store_reader, suspects,
     target,
@@ -377,6 +378,7 @@
         departures: Mutex::default(),
         target_changed: AtomicBool::new(false),
         slowdown: Slowdown::default(),
+        workspace_labels: Labels::default(),
         pool: Arc::new(Pool::new(Retention::PEER)),
         target_pool: Arc::new(Pool::new(Retention::TARGET)),
         lifecycle: Lifecycle::default(),
--- a/crates/medlarpoint_daemon/src/event.rs
+++ b/crates/medlarpoint_daemon/src/event.rs
@@ -213,6 +213,11 @@
     /// No route matches a call, or this daemon cannot serve it.
     7007 Info CallUnroutable { id: String, reason: String, version: Version } => "call {id} not routed: {reason}, by {version}";
 
+    /// A call was rejected with status 401: the credentials that it carries are malformed, or its key belongs to no workspace of the version in force. MP7102 shows when keys changed on this daemon.
+    7101 Info KeyRejected { id: String, route: String, cause: &'static str, version: Version } => "call {id} on {route} rejected for its key ({cause}), by {version}";
+    /// A version with other keys is in force on this daemon. A key that moved to another workspace counts as added and as removed.
+    7102 Info KeysChanged { version: Version, workspaces: usize, added: usize, removed: usize } => "{version} has {workspaces} workspaces, {added} keys added, {removed} removed";
+
     /// A listener of the operators' API failed.
     6001 Error ApiFailed { reason: String } => "the operators' API failed: {reason}";
 }
--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -19,8 +19,7 @@
 use crate::outbound_call::{OutboundCall, Payload, Routed};
 use crate::outbound_response::{call_id, set_retry_after};
 use crate::state::{ServiceState, Shared, lock};
-use crate::workspace::{self, Caller};
-use crate::{header, inbound};
+use crate::{header, inbound, workspace};
 
 /// Retry delay suggested to a caller whose call is rejected with status 503: about
 /// the time that membership takes to learn of a new target.
@@ -91,13 +90,16 @@
     let fractional = caller.id.is_some();
     let class = resolved.map_or("none", |resolved| resolved.route.class.into());
     let is_public = resolved.is_some_and(|resolved| resolved.route.public);
-    let is_unknown = matches!(identified, Caller::Unknown) && !is_public;
+    let key_rejection = identified.rejection().filter(|_| !is_public);
     let workspace = identified.workspace();
-    let tenant = inbound::tenant(request.headers());
-    let tenant = workspace.as_ref().map_or(tenant.0, |workspace| workspace.name.clone());
+    let tenant = match &workspace {
+        Some(workspace) => shared.workspace_labels.of(workspace),
+        None => inbound::tenant(request.headers()).0,
+    };
+    let route = resolved.map_or("none", |resolved| resolved.route.name.as_str()).to_owned();
     let mut response = match resolved {
         _ if !shared.lifecycle.is_ready() => reject(RoutingError::Starting, fractional),
-        _ if is_unknown => reject(RoutingError::UnknownKey, fractional),
+        _ if key_rejection.is_some() => reject(RoutingError::UnknownKey, fractional),
         Some(resolved) => {
             dispatch(&shared, Arc::clone(resolved), workspace, request, &caller).await
         }
@@ -109,7 +111,14 @@
         let reason = reason.to_str().unwrap_or_default().to_owned();
         let version = in_force.snapshot.version;
         let id = call_id(caller.id.as_ref());
-        shared.emit_call(&Event::CallUnroutable { id, reason, version });
+        let event = match key_rejection {
+            Some(cause) if response.status() == StatusCode::UNAUTHORIZED => {
+                workspace::count_rejection(cause);
+                Event::KeyRejected { id, route, cause, version }
+            }
+            _ => Event::CallUnroutable { id, reason, version },
+        };
+        shared.emit_call(&event);
     }
     let version = in_force.snapshot.version.0.to_string();
     header::set(response.headers_mut(), header::VERSION, &version);
--- a/crates/medlarpoint_daemon/src/state.rs
+++ b/crates/medlarpoint_daemon/src/state.rs
@@ -37,6 +37,7 @@
 use crate::settings::Settings;
 use crate::slowdown::Slowdown;
 use crate::traffic::Traffic;
+use crate::workspace::Labels;
 
 /// Version in force with its compiled routes and keys.
 #[derive(Debug)]
@@ -192,6 +193,8 @@
     /// Whether the state of the target has changed since it was last announced.
     pub(crate) target_changed: AtomicBool,
     pub(crate) slowdown: Slowdown,
+    /// Names of workspaces in metrics.
+    pub(crate) workspace_labels: Labels,
     /// Connections of callers.
     pub(crate) caller_connections: Connections,
     /// Connections to other daemons.
--- a/crates/medlarpoint_daemon/src/workspace.rs
+++ b/crates/medlarpoint_daemon/src/workspace.rs
@@ -1,20 +1,31 @@
 //! Workspace of a call: identified by its key at the outbound proxy, named to the target by
 //! the inbound proxy.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use http::HeaderMap;
-use medlarpoint_model::Workspace;
+use indexmap::IndexSet;
+use medlarpoint_model::{Name, Workspace};
 use medlarpoint_platform::call::{self, CallerKey};
 use medlarpoint_routing::KeyTable;
 
+use crate::event::Event;
 use crate::header;
+use crate::state::{InForce, Shared, lock};
+
+/// Limit on the workspaces that metrics name during one run of the daemon. Each name adds
+/// about 20 series, and the recorder keeps them until the process ends.
+const MAX_LABELS: usize = 256;
+/// Label of the workspaces beyond [`MAX_LABELS`].
+const OTHER_LABEL: &str = "other";
 
 /// Who made a call, as far as its credentials tell.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Caller {
     /// The call carries no key, or the version in force has no workspaces.
     Unnamed,
+    /// The credentials of the call are not a key.
+    Malformed,
     /// The key of the call belongs to no workspace.
     Unknown,
     /// The key of the call belongs to this workspace.
@@ -26,7 +37,16 @@
     pub(crate) fn workspace(self) -> Option<Arc<Workspace>> {
         match self {
             Self::Known(workspace) => Some(workspace),
-            Self::Unnamed | Self::Unknown => None,
+            Self::Unnamed | Self::Malformed | Self::Unknown => None,
+        }
+    }
+
+    /// Returns the cause for which the call is rejected on a route that is not public.
+    pub(crate) fn rejection(&self) -> Option<&'static str> {
+        match self {
+            Self::Malformed => Some("malformed"),
+            Self::Unknown => Some("unknown"),
+            Self::Unnamed | Self::Known(_) => None,
         }
     }
 }
@@ -43,7 +63,7 @@
     call::set_workspace(headers, None);
     match call::take_key(headers) {
         CallerKey::Absent => Caller::Unnamed,
-        CallerKey::Malformed => Caller::Unknown,
+        CallerKey::Malformed => Caller::Malformed,
         CallerKey::Present(digest) => {
             keys.find(digest).map_or(Caller::Unknown, |found| Caller::Known(Arc::clone(found)))
         }
@@ -60,5 +80,44 @@
     }
 }
 
+/// Counts a call that was rejected for its key.
+pub(crate) fn count_rejection(cause: &'static str) {
+    metrics::counter!("medlarpoint_keys_rejected_total", "cause" => cause).increment(1);
+}
+
+/// Reports how the keys of the version in force differ from those of the previous one.
+pub(crate) fn report_key_changes(shared: &Shared, previous: &InForce, in_force: &InForce) {
+    let version = in_force.snapshot.version;
+    let workspaces = in_force.snapshot.workspaces().count();
+    metrics::gauge!("medlarpoint_workspaces").set(workspaces as f64);
+    let added = in_force.keys.added_since(&previous.keys);
+    let removed = previous.keys.added_since(&in_force.keys);
+    if added > 0 || removed > 0 {
+        shared.emit(&Event::KeysChanged { version, workspaces, added, removed });
+    }
+}
+
+/// Names of workspaces in metrics.
+///
+/// Invariant: there are at most [`MAX_LABELS`].
+#[derive(Debug, Default)]
+pub(crate) struct Labels(Mutex<IndexSet<Name>>);
+
+impl Labels {
+    /// Returns the name of a workspace in metrics: its own, unless too many others have been
+    /// named before.
+    pub(crate) fn of(&self, workspace: &Workspace) -> Name {
+        let mut names = lock(&self.0);
+        if names.contains(&workspace.name) {
+            return workspace.name.clone();
+        }
+        if names.len() < MAX_LABELS {
+            names.insert(workspace.name.clone());
+            return workspace.name.clone();
+        }
+        OTHER_LABEL.parse().expect("a valid literal")
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/medlarpoint_daemon/src/workspace/tests.rs
+++ b/crates/medlarpoint_daemon/src/workspace/tests.rs
@@ -38,9 +38,12 @@
 
 #[test]
 fn unknown_and_malformed_keys_are_removed_too_and_a_missing_one_is_no_unknown_one() {
-    for credentials in ["Token other", "Basic y5rcp"] {
+    for (credentials, caller) in
+        [("Token other", Caller::Unknown), ("Basic y5rcp", Caller::Malformed)]
+    {
         let mut headers = headers(&[("authorization", credentials)]);
-        assert_eq!(identify(&keys(), &mut headers), Caller::Unknown);
+        assert_eq!(identify(&keys(), &mut headers), caller);
+        assert!(caller.rejection().is_some());
         assert!(headers.is_empty());
     }
     assert_eq!(identify(&keys(), &mut headers(&[("accept", "*/*")])), Caller::Unnamed);
@@ -65,3 +68,19 @@
     assert!(!headers.contains_key("medlarpoint-workspace"));
     assert!(headers.values().any(|value| value == "hule930"));
 }
+
+/// Each name adds series that are kept for the run of the daemon, and operators may replace
+/// workspaces any number of times.
+#[test]
+fn the_number_of_workspaces_in_metrics_is_bounded() {
+    let labels = Labels::default();
+    let name = |index: usize| -> Name { format!("w{index}").parse().unwrap() };
+    let label = |index| {
+        labels.of(&Workspace { name: name(index), keys: Vec::new(), priority: None, quota: None })
+    };
+    for index in 0..MAX_LABELS {
+        assert_eq!(label(index), name(index));
+    }
+    assert_eq!(label(MAX_LABELS).as_str(), OTHER_LABEL);
+    assert_eq!(label(7), name(7));
+}
--- a/crates/medlarpoint_routing/src/key_table.rs
+++ b/crates/medlarpoint_routing/src/key_table.rs
@@ -36,6 +36,14 @@
         self.has_workspaces
     }
 
+    /// Returns the number of keys that are valid here and were not, or belonged to another
+    /// workspace, in `previous`.
+    pub fn added_since(&self, previous: &Self) -> usize {
+        let owner = |table: &Self, digest| table.find(digest).map(|found| found.name.clone());
+        let digests = self.by_digest.keys();
+        digests.filter(|digest| owner(self, **digest) != owner(previous, **digest)).count()
+    }
+
     /// Returns the workspace that a key belongs to.
     pub fn find(&self, digest: KeyDigest) -> Option<&Arc<Workspace>> {
         self.by_digest.get(&digest)
--- a/crates/medlarpoint_routing/src/key_table/tests.rs
+++ b/crates/medlarpoint_routing/src/key_table/tests.rs
@@ -24,7 +24,9 @@
     assert_eq!(find(&table, "k1"), find(&table, "k2"));
     assert_eq!(find(&table, "k3").map(Name::as_str), Some("b"));
     assert_eq!(find(&table, "k"), None);
+    let before = table;
     let table = KeyTable::compile(&first.edit(&[workspace("a", &["k2"])]));
+    assert_eq!((table.added_since(&before), before.added_since(&table)), (0, 1));
     assert_eq!(find(&table, "k1"), None);
     assert_eq!(find(&table, "k2").map(Name::as_str), Some("a"));
 }
