--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
 use hyper::body::{Body as _, Incoming};
-use medlarpoint_model::{Class, Name, Workspace};
+use medlarpoint_model::{Class, Name, Version, Workspace};
 use medlarpoint_platform::call;
 use medlarpoint_routing::{
     Constraints, FailurePoint, IdempotencyKey, LARGE_MESSAGE_BYTES, Outcome, ResolvedRoute,
@@ -46,6 +46,8 @@
     UnknownKey,
     #[error("the call carries no key: send the one of your workspace")]
     MissingKey,
+    #[error("the credentials of the call are not a key: check their scheme")]
+    MalformedKey,
     #[error("no route matches the call: list the routes with `medlarpoint get route`")]
     NoRoute,
     #[error("the chain of calls exceeds {MAX_DEPTH} proxies: check it for a loop")]
@@ -68,7 +70,7 @@
             Self::Starting | Self::NoService | Self::Late | Self::Stopping => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
-            Self::UnknownKey | Self::MissingKey => StatusCode::UNAUTHORIZED,
+            Self::UnknownKey | Self::MissingKey | Self::MalformedKey => StatusCode::UNAUTHORIZED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::TooDeep => StatusCode::LOOP_DETECTED,
             Self::BodySize => StatusCode::PAYLOAD_TOO_LARGE,
@@ -112,11 +114,14 @@
     let caller = call::caller_info(request.headers());
     let fractional = caller.id.is_some();
     let class = resolved.map_or("none", |resolved| resolved.route.class.into());
-    let denial = identified.denial().filter(|_| resolved.is_some_and(|found| !found.route.public));
+    let is_public = resolved.is_some_and(|resolved| resolved.route.public);
+    let key_rejection = identified.rejection().filter(|_| !is_public);
     let workspace = identified.workspace();
-    let tenant = inbound::tenant(request.headers());
-    let tenant = workspace.as_ref().map_or(tenant.0, |workspace| workspace.name.clone());
-    let mut response = match (resolved, denial) {
+    let tenant = match &workspace {
+        Some(workspace) => shared.workspace_labels.of(workspace),
+        None => inbound::tenant(request.headers()).0,
+    };
+    let mut response = match (resolved, key_rejection) {
         _ if !shared.lifecycle.is_ready() => reject(RoutingError::Starting, fractional),
         (Some(_), Some(reason)) => reject(reason, fractional),
         (Some(resolved), None) => {
@@ -124,20 +129,33 @@
         }
         (None, _) => reject(RoutingError::NoRoute, fractional),
     };
+    let version = in_force.snapshot.version;
+    let id = call_id(caller.id.as_ref());
+    match (key_rejection, resolved) {
+        (Some(reason), Some(resolved)) if response.status() == StatusCode::UNAUTHORIZED => {
+            let (cause, route) = (reason.into(), resolved.route.name.to_string());
+            workspace::count_rejection(cause);
+            shared.emit_call(&Event::KeyRejected { id, route, cause, version });
+        }
+        _ => log_unroutable(&shared, &response, id, version),
+    }
+    header::set(response.headers_mut(), header::VERSION, &version.0.to_string());
+    record_metrics(&response, tenant.as_str(), class, shared.now().saturating_sub(started));
+    response
+}
+
+/// Logs a call that was rejected before any attempt, except for its quota, which has an event
+/// of its own.
+fn log_unroutable(shared: &Shared, response: &Response<Body>, id: String, version: Version) {
+    if response.status() == StatusCode::TOO_MANY_REQUESTS {
+        return;
+    }
     // A point that is not a `FailurePoint` is a `RoutingError`.
     let point = header::parse::<FailurePoint>(response.headers(), &header::POINT);
-    let is_logged = response.status() == StatusCode::TOO_MANY_REQUESTS;
-    if let (Some(reason), None, false) = (response.headers().get(&header::POINT), point, is_logged)
-    {
+    if let (Some(reason), None) = (response.headers().get(&header::POINT), point) {
         let reason = reason.to_str().unwrap_or_default().to_owned();
-        let version = in_force.snapshot.version;
-        let id = call_id(caller.id.as_ref());
         shared.emit_call(&Event::CallUnroutable { id, reason, version });
     }
-    let version = in_force.snapshot.version.0.to_string();
-    header::set(response.headers_mut(), header::VERSION, &version);
-    record_metrics(&response, tenant.as_str(), class, shared.now().saturating_sub(started));
-    response
 }
 
 fn record_metrics(response: &Response<Body>, tenant: &str, class: &'static str, elapsed: Duration) {
--- a/crates/medlarpoint_daemon/src/state.rs
+++ b/crates/medlarpoint_daemon/src/state.rs
@@ -39,6 +39,7 @@
 use crate::settings::Settings;
 use crate::slowdown::Slowdown;
 use crate::traffic::Traffic;
+use crate::workspace::Labels;
 
 /// Version in force with its compiled routes and keys.
 #[derive(Debug)]
@@ -196,6 +197,8 @@
     /// Whether the state of the target has changed since it was last announced.
     pub(crate) target_changed: AtomicBool,
     pub(crate) slowdown: Slowdown,
+    /// Names of workspaces in metrics.
+    pub(crate) workspace_labels: Labels,
     /// Connections of callers.
     pub(crate) caller_connections: Connections,
     /// Calls that were started before their turn on the connections of callers.
