--- a/crates/medlarpoint_daemon/src/pipeline/early_call.rs
+++ b/crates/medlarpoint_daemon/src/pipeline/early_call.rs
@@ -70,14 +70,14 @@
 impl EarlyCall {
     /// Starts a call that was read at `read_at`, on the local clock.
     pub(crate) fn start(shared: &Arc<Shared>, head: Box<Head>, read_at: Duration) -> Start {
-        let request = head.to_request();
-        if !outbound::is_repeatable(shared, &request) {
+        if !outbound::is_repeatable(shared, head.to_request()) {
             return Start::NotRepeatable;
         }
         let Ok(permit) = Arc::clone(&shared.early_calls.permits).try_acquire_owned() else {
             return Start::Full;
         };
         metrics::counter!("medlarpoint_early_calls_total", "event" => "started").increment(1);
+        let request = head.to_request();
         Start::Started(Box::new(Self {
             shared: Arc::clone(shared),
             head,
