--- a/crates/medlarpoint_daemon/src/event.rs
+++ b/crates/medlarpoint_daemon/src/event.rs
@@ -107,6 +107,11 @@
     /// The settings file changed but is invalid; the current settings remain in use.
     1009 Error ReloadFailed { reason: String } => "settings not reloaded: {reason}";
 
+    /// Requests of a connection are read one at a time from now on, because the read-ahead reader does not handle what the caller sent. Calls are served as without read-ahead.
+    1101 Info ReadAheadOff { requests: u64, reason: OffReason } => "read-ahead off on a connection after {requests} requests: {reason}";
+    /// A call that was started before its turn was cancelled. The caller has no response to it; it may send the request again.
+    1102 Info EarlyCallCancelled { id: String, reason: CancelReason } => "call {id}, started before its turn, cancelled: {reason}";
+
     /// A newer version is in force on this daemon.
     2001 Info Applied { version: Version, from: String } => "{version} in force, from {from}";
     /// A peer or the store offered a version that fails a check; the version in force stays. `medlarpoint why --version` shows details.
@@ -190,11 +195,6 @@
     /// This daemon's target has answered a call under which targets had crashed.
     5016 Info SuspectCleared { call: Fingerprint, crashes: u32 } => "call {call} was answered after {crashes} crashes in a row";
 
-    /// Requests of a connection are read one at a time from now on, because the read-ahead reader does not handle what the caller sent. Calls are served as without read-ahead.
-    1101 Info ReadAheadOff { requests: u64, reason: OffReason } => "read-ahead off on a connection after {requests} requests: {reason}";
-    /// A call that was started before its turn was cancelled. The caller has no response to it; it may send the request again.
-    1102 Info EarlyCallCancelled { id: String, reason: CancelReason } => "call {id}, started before its turn, cancelled: {reason}";
-
     /// The connection limit of a listener is reached; new connections are closed immediately.
     5005 Warn ConnectionLimit { listener: String, limit: usize } => "{listener} has reached its limit of {limit} connections";
 
--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -119,17 +119,13 @@
     let workspace = identified.workspace();
     let tenant = inbound::tenant(request.headers());
     let tenant = workspace.as_ref().map_or(tenant.0, |workspace| workspace.name.clone());
-    let mut response = match resolved {
+    let mut response = match (resolved, denial) {
         _ if !shared.lifecycle.is_ready() => reject(RoutingError::Starting, fractional),
-        Some(resolved) => {
-            if let Some(reason) = denial {
-                reject(reason, fractional)
-            } else {
-                let resolved = Arc::clone(resolved);
-                dispatch(&shared, resolved, workspace, request, &caller, read_at).await
-            }
+        (Some(_), Some(reason)) => reject(reason, fractional),
+        (Some(resolved), None) => {
+            dispatch(&shared, Arc::clone(resolved), workspace, request, &caller, read_at).await
         }
-        None => reject(RoutingError::NoRoute, fractional),
+        (None, _) => reject(RoutingError::NoRoute, fractional),
     };
     // A point that is not a `FailurePoint` is a `RoutingError`.
     let point = header::parse::<FailurePoint>(response.headers(), &header::POINT);
--- a/crates/medlarpoint_daemon/src/pipeline/read_ahead.rs
+++ b/crates/medlarpoint_daemon/src/pipeline/read_ahead.rs
@@ -25,6 +25,9 @@
 /// Bytes that are read from the socket at a time.
 const READ_BYTES: usize = 8 * 1024;
 
+/// Free space in the buffer below which it grows.
+const MIN_READ_BYTES: usize = 1_024;
+
 /// Read-ahead on one connection, shared by the socket that the HTTP library reads, the
 /// service that it calls, and the task that runs the connection.
 pub(crate) struct ReadAhead {
@@ -195,7 +198,9 @@
             if !state.may_read() {
                 return;
             }
-            state.unread.reserve(READ_BYTES);
+            if state.unread.capacity() - state.unread.len() < MIN_READ_BYTES {
+                state.unread.reserve(READ_BYTES);
+            }
             let mut unread = (&mut state.unread).limit(READ_BYTES);
             state.end = match self.poll_socket(cx, &mut unread) {
                 Poll::Pending => {
