--- a/crates/medlarpoint_bench/tests/pipelining.rs
+++ b/crates/medlarpoint_bench/tests/pipelining.rs
@@ -88,6 +88,8 @@
     /// is not the target's.
     id: String,
     closes: bool,
+    /// Size of the request body, as the target has received it.
+    received_bytes: usize,
 }
 
 /// A connection to a daemon.
@@ -149,9 +151,10 @@
         let words: Vec<&str> = text.split_whitespace().take(3).collect();
         let status = head.split(' ').nth(1).unwrap().parse().unwrap();
         let id = if status == 200 { words[1].to_owned() } else { String::new() };
+        let received_bytes = if status == 200 { words[2].parse().unwrap() } else { 0 };
         let closes = field("connection: ") == Some("close");
         self.received.drain(..end + length);
-        Some(Response { status, id, closes })
+        Some(Response { status, id, closes, received_bytes })
     }
 }
 
@@ -326,6 +329,8 @@
     for id in ["slow", "order", "quick", "second", "last"] {
         let response = caller.response().await.unwrap();
         assert_eq!((response.status, response.id.as_str()), (200, id));
+        let sent_bytes = if ["order", "second"].contains(&id) { 6 } else { 0 };
+        assert_eq!(response.received_bytes, sent_bytes);
     }
     assert_eq!(["order", "second"].map(|id| fleet.execution_log.count(id)), [1, 1]);
     fleet.close().await;
@@ -347,6 +352,72 @@
     fleet.close().await;
 }
 
+/// Guards against a body that is cut, or taken for requests, because only a part of it is read
+/// ahead. It looks like requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_body_behind_an_unfinished_request_arrives_complete() {
+    let fleet = start_fleet(&[READ_AHEAD]).await;
+    let caller = Caller::connect(fleet.call_addresses()[0]).await;
+    let body = quick("within-the-body").repeat(4_000);
+    let first = get("delivery", "/lookup", "first", "x-work-us: 300000\r\n");
+    let upload = format!(
+        "POST /orders HTTP/1.1\r\nhost: orders.talskrivarna\r\nx-request-id: upload\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let requests = [first, upload.clone(), upload.replace("upload", "again"), quick("last")];
+    // The caller reads while it sends: the bodies exceed the buffers on the way.
+    let (mut reader, mut writer) = tokio::io::split(caller.stream);
+    let sender = tokio::spawn(async move {
+        writer.write_all(requests.concat().as_bytes()).await.unwrap();
+    });
+    let mut received = Vec::new();
+    let lines = [
+        "first 0\n".to_owned(),
+        format!("upload {}\n", body.len()),
+        format!("again {}\n", body.len()),
+        "last 0\n".to_owned(),
+    ];
+    let exchange = async {
+        while !String::from_utf8_lossy(&received).contains(&lines[3]) {
+            assert!(reader.read_buf(&mut received).await.unwrap() > 0, "the connection ended");
+        }
+    };
+    tokio::time::timeout(WAIT_LIMIT, exchange).await.expect("no response");
+    let text = String::from_utf8_lossy(&received).into_owned();
+    let positions: Vec<usize> = lines.iter().map(|line| text.find(line).expect(&text)).collect();
+    assert!(positions.is_sorted(), "{text}");
+    assert_eq!(fleet.execution_log.count("within-the-body"), 0);
+    sender.await.unwrap();
+    fleet.close().await;
+}
+
+/// Guards against a connection over HTTP/2 that the framing delays or changes.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_http2_connection_passes_through() {
+    const PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+    /// Frame of type `SETTINGS` without parameters.
+    const SETTINGS: &[u8] = &[0, 0, 0, 4, 0, 0, 0, 0, 0];
+    /// Frame of type `PING` with the payload `medlar-1`, and the acknowledgement.
+    const PING: &[u8] = b"\0\0\x08\x06\0\0\0\0\0medlar-1";
+    const PONG: &[u8] = b"\0\0\x08\x06\x01\0\0\0\0medlar-1";
+    let fleet = start_fleet(&[READ_AHEAD]).await;
+    let mut stream = TcpStream::connect(fleet.call_addresses()[0]).await.unwrap();
+    let sent = [PREFACE, SETTINGS, PING].concat();
+    for piece in sent.chunks(5) {
+        stream.write_all(piece).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let mut received = Vec::new();
+    let exchange = async {
+        while !received.windows(PONG.len()).any(|bytes| bytes == PONG) {
+            assert!(stream.read_buf(&mut received).await.unwrap() > 0, "the connection ended");
+        }
+    };
+    tokio::time::timeout(WAIT_LIMIT, exchange).await.expect("no response");
+    fleet.close().await;
+}
+
 /// Guards against calls that run behind a request that the daemon rejects.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_malformed_request_is_rejected_and_nothing_behind_it_runs() {
