--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -80,9 +80,11 @@
 }
 
 /// Returns whether the route of a call declares it repeatable.
-pub(crate) fn is_repeatable<B>(shared: &Shared, request: &Request<B>) -> bool {
+pub(crate) fn is_repeatable<B>(shared: &Shared, mut request: Request<B>) -> bool {
     let in_force = shared.in_force.load();
-    find_route(&in_force.routes, request).is_some_and(|resolved| resolved.route.repeatable)
+    // Routes are found by the headers that are left once the caller is identified.
+    workspace::identify(&in_force.keys, request.headers_mut());
+    find_route(&in_force.routes, &request).is_some_and(|resolved| resolved.route.repeatable)
 }
 
 fn find_route<'a, B>(
@@ -109,8 +111,8 @@
     let _guard = shared.lifecycle.track_call();
     let started = shared.now();
     let in_force = shared.in_force.load_full();
-    let resolved = find_route(&in_force.routes, &request);
     let identified = workspace::identify(&in_force.keys, request.headers_mut());
+    let resolved = find_route(&in_force.routes, &request);
     let caller = call::caller_info(request.headers());
     let fractional = caller.id.is_some();
     let class = resolved.map_or("none", |resolved| resolved.route.class.into());
