--- a/crates/medlarpoint_daemon/src/workspace.rs
+++ b/crates/medlarpoint_daemon/src/workspace.rs
@@ -11,6 +11,7 @@
 
 use crate::event::Event;
 use crate::header;
+use crate::outbound::RoutingError;
 use crate::state::{InForce, Shared, lock};
 
 /// Limit on the workspaces that metrics name during one run of the daemon. Each name adds
@@ -22,8 +23,10 @@
 /// Who made a call, as far as its credentials tell.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Caller {
-    /// The call carries no key, or the version in force has no workspaces.
+    /// The version in force has no workspaces, so callers need no key.
     Unnamed,
+    /// The call carries no key.
+    Missing,
     /// The credentials of the call are not a key.
     Malformed,
     /// The key of the call belongs to no workspace.
@@ -33,20 +36,21 @@
 }
 
 impl Caller {
-    /// Returns the workspace of the call.
-    pub(crate) fn workspace(self) -> Option<Arc<Workspace>> {
+    /// Returns the reason to reject the call on a route that is not public.
+    pub(crate) fn denial(&self) -> Option<RoutingError> {
         match self {
-            Self::Known(workspace) => Some(workspace),
-            Self::Unnamed | Self::Malformed | Self::Unknown => None,
+            Self::Missing => Some(RoutingError::MissingKey),
+            Self::Malformed => Some(RoutingError::MalformedKey),
+            Self::Unknown => Some(RoutingError::UnknownKey),
+            Self::Unnamed | Self::Known(_) => None,
         }
     }
 
-    /// Returns the cause for which the call is rejected on a route that is not public.
-    pub(crate) fn rejection(&self) -> Option<&'static str> {
+    /// Returns the workspace of the call.
+    pub(crate) fn workspace(self) -> Option<Arc<Workspace>> {
         match self {
-            Self::Malformed => Some("malformed"),
-            Self::Unknown => Some("unknown"),
-            Self::Unnamed | Self::Known(_) => None,
+            Self::Known(workspace) => Some(workspace),
+            Self::Unnamed | Self::Missing | Self::Malformed | Self::Unknown => None,
         }
     }
 }
@@ -62,7 +66,7 @@
     headers.remove(&header::TENANT);
     call::set_workspace(headers, None);
     match call::take_key(headers) {
-        CallerKey::Absent => Caller::Unnamed,
+        CallerKey::Absent => Caller::Missing,
         CallerKey::Malformed => Caller::Malformed,
         CallerKey::Present(digest) => {
             keys.find(digest).map_or(Caller::Unknown, |found| Caller::Known(Arc::clone(found)))
@@ -81,7 +85,8 @@
 }
 
 /// Counts a call that was rejected for its key.
-pub(crate) fn count_rejection(cause: &'static str) {
+pub(crate) fn count_denial(reason: RoutingError) {
+    let cause: &'static str = reason.into();
     metrics::counter!("medlarpoint_keys_rejected_total", "cause" => cause).increment(1);
 }
 
--- a/crates/medlarpoint_daemon/src/workspace/tests.rs
+++ b/crates/medlarpoint_daemon/src/workspace/tests.rs
@@ -37,16 +37,16 @@
 }
 
 #[test]
-fn unknown_and_malformed_keys_are_removed_too_and_a_missing_one_is_no_unknown_one() {
+fn unknown_and_malformed_keys_are_removed_too_and_a_missing_one_is_told_apart() {
     for (credentials, caller) in
         [("Token other", Caller::Unknown), ("Basic y5rcp", Caller::Malformed)]
     {
         let mut headers = headers(&[("authorization", credentials)]);
         assert_eq!(identify(&keys(), &mut headers), caller);
-        assert!(caller.rejection().is_some());
+        assert!(caller.denial().is_some());
         assert!(headers.is_empty());
     }
-    assert_eq!(identify(&keys(), &mut headers(&[("accept", "*/*")])), Caller::Unnamed);
+    assert_eq!(identify(&keys(), &mut headers(&[("accept", "*/*")])), Caller::Missing);
 }
 
 /// Deployments without workspaces send credentials of their own, which their targets check.
