--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -46,7 +46,7 @@
     UnknownKey,
     #[error("the call carries no key: send the one of your workspace")]
     MissingKey,
-    #[error("the credentials of the call are not a key: check their scheme")]
+    #[error("the credentials of the call are malformed: send one key of your workspace")]
     MalformedKey,
     #[error("no route matches the call: list the routes with `medlarpoint get route`")]
     NoRoute,
@@ -116,16 +116,15 @@
     let caller = call::caller_info(request.headers());
     let fractional = caller.id.is_some();
     let class = resolved.map_or("none", |resolved| resolved.route.class.into());
-    let is_public = resolved.is_some_and(|resolved| resolved.route.public);
-    let key_rejection = identified.rejection().filter(|_| !is_public);
+    let denial = identified.denial().filter(|_| resolved.is_some_and(|found| !found.route.public));
     let workspace = identified.workspace();
     let tenant = match &workspace {
         Some(workspace) => shared.workspace_labels.of(workspace),
         None => inbound::tenant(request.headers()).0,
     };
-    let mut response = match (resolved, key_rejection) {
+    let mut response = match (resolved, denial) {
         _ if !shared.lifecycle.is_ready() => reject(RoutingError::Starting, fractional),
-        (Some(_), Some(reason)) => reject(reason, fractional),
+        (Some(_), Some(denial)) => reject(denial, fractional),
         (Some(resolved), None) => {
             dispatch(&shared, Arc::clone(resolved), workspace, request, &caller, read_at).await
         }
@@ -133,11 +132,11 @@
     };
     let version = in_force.snapshot.version;
     let id = call_id(caller.id.as_ref());
-    match (key_rejection, resolved) {
-        (Some(reason), Some(resolved)) if response.status() == StatusCode::UNAUTHORIZED => {
-            let (cause, route) = (reason.into(), resolved.route.name.to_string());
-            workspace::count_rejection(cause);
-            shared.emit_call(&Event::KeyRejected { id, route, cause, version });
+    match (denial, resolved) {
+        (Some(denial), Some(resolved)) if response.status() == StatusCode::UNAUTHORIZED => {
+            let (reason, route) = (<&str>::from(denial).to_owned(), resolved.route.name.to_string());
+            workspace::count_denial(denial);
+            shared.emit_call(&Event::KeyRejected { id, route, reason, version });
         }
         _ => log_unroutable(&shared, &response, id, version),
     }
--- a/crates/medlarpoint_daemon/src/workspace.rs
+++ b/crates/medlarpoint_daemon/src/workspace.rs
@@ -36,16 +36,8 @@
 }
 
 impl Caller {
-    /// Returns the workspace of the call.
-    pub(crate) fn workspace(self) -> Option<Arc<Workspace>> {
-        match self {
-            Self::Known(workspace) => Some(workspace),
-            Self::Unnamed | Self::Missing | Self::Malformed | Self::Unknown => None,
-        }
-    }
-
-    /// Returns the reason for which the call is rejected on a route that is not public.
-    pub(crate) fn rejection(&self) -> Option<RoutingError> {
+    /// Returns the reason to reject the call on a route that is not public.
+    pub(crate) fn denial(&self) -> Option<RoutingError> {
         match self {
             Self::Missing => Some(RoutingError::MissingKey),
             Self::Malformed => Some(RoutingError::MalformedKey),
@@ -53,6 +45,14 @@
             Self::Unnamed | Self::Known(_) => None,
         }
     }
+
+    /// Returns the workspace of the call.
+    pub(crate) fn workspace(self) -> Option<Arc<Workspace>> {
+        match self {
+            Self::Known(workspace) => Some(workspace),
+            Self::Unnamed | Self::Missing | Self::Malformed | Self::Unknown => None,
+        }
+    }
 }
 
 /// Identifies the caller of a call. Removes its key and what it states about its workspace
@@ -85,7 +85,8 @@
 }
 
 /// Counts a call that was rejected for its key.
-pub(crate) fn count_rejection(cause: &'static str) {
+pub(crate) fn count_denial(reason: RoutingError) {
+    let cause: &'static str = reason.into();
     metrics::counter!("medlarpoint_keys_rejected_total", "cause" => cause).increment(1);
 }
 
--- a/crates/medlarpoint_daemon/src/workspace/tests.rs
+++ b/crates/medlarpoint_daemon/src/workspace/tests.rs
@@ -43,7 +43,7 @@
     {
         let mut headers = headers(&[("authorization", credentials)]);
         assert_eq!(identify(&keys(), &mut headers), caller);
-        assert!(caller.rejection().is_some());
+        assert!(caller.denial().is_some());
         assert!(headers.is_empty());
     }
     assert_eq!(identify(&keys(), &mut headers(&[("accept", "*/*")])), Caller::Missing);
