Progressive rollouts: orders, split of calls, judge, and the state in the store

Cause: an operator's order to move a service to a new version was ignored; all versions served.

Change: the readers watch the prefix of all that the operator writes, so that orders cost no further calls. Orders and phases are broadcast, repeated with probes and fetched at the start. Each daemon splits its own calls (first attempts without a key may go to canary targets), counts responses by route and version, and reports them to two deciding daemons. These run a sequential test per route, shift at 60% of the period, and write the state under a condition, also after the store was away. A target announces its version and the order that its daemon knows; a daemon that does not know that order sends it no calls and fetches the order. A target whose version differs from the others waits until its daemon has asked the store or peers for an order. `medlarpoint status`, metrics and events MP2101 to MP2108.

--- a/crates/medlarpoint_api/src/status.rs
+++ b/crates/medlarpoint_api/src/status.rs
@@ -83,6 +83,36 @@
     pub down: bool,
 }
 
+/// Order to move a service to a new version of its targets, as known to one daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[schemars(rename = "Rollout")]
+pub struct RolloutStatus {
+    /// Service that is moved.
+    pub service: Name,
+    /// Software version of the targets that it is moved to.
+    pub version: String,
+    /// Revision of the store that wrote the order.
+    pub revision: u64,
+    /// State: `canary`, `shifting`, `rolled_back` or `completed`.
+    pub state: String,
+    /// Reason for the state; empty if there is none to state.
+    pub reason: String,
+    /// Time since the order was first read, in milliseconds.
+    pub age_ms: u64,
+    /// Calls to the service through the responding daemon since the order, or since its start.
+    pub calls: u64,
+    /// Those of the calls that the new version got before it was judged good.
+    pub exposed: u64,
+    /// Responses of the new version to calls through the responding daemon.
+    pub new_responses: u64,
+    /// Those of the responses that were failures or slow.
+    pub new_bad: u64,
+    /// Responses of the old version.
+    pub old_responses: u64,
+    /// Those of the responses that were failures or slow.
+    pub old_bad: u64,
+}
+
 /// State of the fleet as seen by one daemon.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct Status {
@@ -111,4 +141,7 @@
     pub data_centres: Vec<DataCentreStatus>,
     /// Target of the daemon; absent if none has announced itself.
     pub target: Option<TargetStatus>,
+    /// Latest order of each service that has one.
+    #[serde(default)]
+    pub rollouts: Vec<RolloutStatus>,
 }
--- a/crates/medlarpoint_api/src/target.rs
+++ b/crates/medlarpoint_api/src/target.rs
@@ -18,6 +18,9 @@
     pub slots: u32,
     /// Maximum number of connections that the target accepts at a time.
     pub connections: u32,
+    /// Software version of the target.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<String>,
 }
 
 /// Stops or resumes new calls to the target of the daemon that receives the request.
--- a/crates/medlarpoint_cli/src/output.rs
+++ b/crates/medlarpoint_cli/src/output.rs
@@ -7,7 +7,7 @@
 use indexmap::IndexMap;
 use medlarpoint_api::{
     Activation, DataCentreState, DataCentreStatus, Explanation, History, HistoryEntry, Resources,
-    Status,
+    RolloutStatus, Status,
 };
 use medlarpoint_model::{Resource, Version};
 use serde_json::Value;
@@ -120,6 +120,9 @@
             target.service, target.running, target.usable, target.queued,
         );
     }
+    for rollout in &status.rollouts {
+        let _ = writeln!(text, "{}", rollout_line(rollout, palette));
+    }
     let _ = writeln!(text, "newest version: {}", status.newest);
     let width = status.data_centres.iter().map(|p| p.data_centre.as_str().len()).max();
     for data_centre in &status.data_centres {
@@ -132,6 +135,30 @@
     text
 }
 
+/// Renders the state of an order in one line.
+fn rollout_line(rollout: &RolloutStatus, palette: Palette) -> String {
+    let color = match rollout.state.as_str() {
+        "rolled_back" => AnsiColor::Red,
+        "completed" => AnsiColor::Green,
+        _ => AnsiColor::Yellow,
+    };
+    let state = palette.paint(color, &rollout.state);
+    let reason = if rollout.reason.is_empty() { "just ordered" } else { &rollout.reason };
+    format!(
+        "rollout of {} to {}: {state} ({reason}), ordered {} s ago; here {} of {} calls were \
+         exposed, bad: {} of {} new, {} of {} old",
+        rollout.service,
+        rollout.version,
+        rollout.age_ms / 1_000,
+        rollout.exposed,
+        rollout.calls,
+        rollout.new_bad,
+        rollout.new_responses,
+        rollout.old_bad,
+        rollout.old_responses,
+    )
+}
+
 /// Renders the state of a data centre in one line.
 fn data_centre_line(
     data_centre: &DataCentreStatus,
--- a/crates/medlarpoint_daemon/src/api_response.rs
+++ b/crates/medlarpoint_daemon/src/api_response.rs
@@ -4,10 +4,11 @@
 
 use medlarpoint_api::{
     Action, Activation, DataCentreState, DataCentreStatus, History, HistoryEntry, Laggard,
-    ResourceChange, Status, StoreStatus, TargetStatus,
+    ResourceChange, RolloutStatus, Status, StoreStatus, TargetStatus,
 };
 use medlarpoint_membership::summaries;
 use medlarpoint_model::{Change, DataCentre, Version};
+use medlarpoint_routing::rollout::Rollout;
 use medlarpoint_wire::Readiness;
 
 use crate::state::{Control, Shared, lock};
@@ -51,6 +52,7 @@
         },
         data_centres,
         target: target(shared),
+        rollouts: rollouts(shared),
     }
 }
 
@@ -104,6 +106,35 @@
     })
 }
 
+/// Returns the latest order of each service.
+fn rollouts(shared: &Shared) -> Vec<RolloutStatus> {
+    let now = shared.now();
+    let known = lock(&shared.rollouts).book.rollouts(now);
+    let status = |rollout: &Rollout| {
+        let service = shared.service(&rollout.order.service);
+        let (old, new, (calls, exposed)) = service.map_or_else(Default::default, |service| {
+            let mut split = lock(&service.split);
+            let (old, new) = split.counts_mut().totals();
+            (old, new, split.exposure())
+        });
+        RolloutStatus {
+            service: rollout.order.service.clone(),
+            version: rollout.order.version.to_string(),
+            revision: rollout.order.id.revision,
+            state: rollout.phase.to_string(),
+            reason: rollout.reason.clone(),
+            age_ms: rollout.age.as_millis() as u64,
+            calls,
+            exposed,
+            new_responses: new.responses,
+            new_bad: new.bad(),
+            old_responses: old.responses,
+            old_bad: old.bad(),
+        }
+    };
+    known.iter().map(status).collect()
+}
+
 /// Returns up to `limit` recent versions, newest first.
 pub(crate) fn history(shared: &Shared, limit: usize) -> History {
     let control = lock(&shared.control);
--- a/crates/medlarpoint_daemon/src/control.rs
+++ b/crates/medlarpoint_daemon/src/control.rs
@@ -19,7 +19,7 @@
 use crate::event::Event;
 use crate::state::{Control, InForce, Shared, lock};
 use crate::traffic::Counts;
-use crate::{peer, roles, services, suspects};
+use crate::{peer, roles, rollouts, services, suspects};
 
 /// Interval between ticks of the control plane.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -306,6 +306,7 @@
             match &frame.body {
                 Body::Probe { gossip, .. } | Body::Ack { gossip, .. } => {
                     suspects::merge(&self.shared, &gossip.suspects);
+                    rollouts::receive_gossip(&self.shared, &control, &gossip.rollouts);
                     self.add_pull_candidate(&mut control, &frame.from, gossip);
                 }
                 Body::Announce { tip } => {
@@ -331,6 +332,14 @@
                 Body::Suspects { origin, suspects } => {
                     suspects::receive(self, &control, origin, suspects);
                 }
+                Body::Rollouts { origin, rollouts } => {
+                    rollouts::receive(self, &control, origin, rollouts);
+                }
+                Body::RolloutReport { service, revision, boot, settled, routes } => {
+                    let report = rollouts::decode_report(*boot, *settled, routes);
+                    let order = (service, *revision);
+                    rollouts::receive_report(self, &control, &frame.from, order, &report);
+                }
                 Body::Receipt { version } => control.reporter.on_ack(&frame.from, *version),
                 Body::Indirect { .. } => {}
             }
@@ -441,6 +450,7 @@
 
     pub(crate) fn send(&self, control: &Control, to: SocketAddr, mut body: Body) {
         suspects::add_to_gossip(&self.shared, &mut body);
+        rollouts::add_to_gossip(&self.shared, &mut body);
         let frame = Frame {
             protocol: PROTOCOL_VERSION,
             fleet: self.shared.fleet().clone(),
--- a/crates/medlarpoint_daemon/src/daemon.rs
+++ b/crates/medlarpoint_daemon/src/daemon.rs
@@ -35,8 +35,8 @@
 use crate::state::{Control, InForce, Reloadable, Shared, lock};
 use crate::traffic::{Counts, Traffic};
 use crate::{
-    api, api_response, peer, platform_endpoints, registry, reload, startup, store_reader, suspects,
-    target,
+    api, api_response, peer, platform_endpoints, registry, reload, rollouts, startup, store_reader,
+    suspects, target,
 };
 
 /// Time until other processes know that this daemon leaves: members learn it from
@@ -370,6 +370,7 @@
         target: Mutex::new(None),
         suspects: Mutex::default(),
         suspects_changed: Notify::new(),
+        rollouts: Mutex::default(),
         target_run: Mutex::default(),
         target_check: tokio::sync::Mutex::default(),
         deregistrations: Mutex::default(),
@@ -415,5 +416,7 @@
     tokio::spawn(registry::run(Arc::clone(driver)));
     tokio::spawn(startup::catch_up(Arc::clone(driver)));
     tokio::spawn(suspects::run(Arc::clone(driver)));
+    tokio::spawn(rollouts::run(Arc::clone(driver)));
+    tokio::spawn(rollouts::status_writer::run(Arc::clone(driver)));
     tokio::spawn(target::run_maintenance(Arc::clone(driver)));
 }
--- a/crates/medlarpoint_daemon/src/event.rs
+++ b/crates/medlarpoint_daemon/src/event.rs
@@ -131,6 +131,23 @@
     /// A member of another data centre has a newer version. This daemon pulls it after the wait, unless a nearer member has it before.
     2012 Info PullWaits { version: Version, vm: Vm, wait_ms: u64 } => "{version} announced by {vm}, pulled in {wait_ms} ms at the latest";
 
+    /// The operator has ordered to move a service to a new version of its targets. Only a few targets of it get calls until it is judged good.
+    2101 Info RolloutOrdered { service: Name, version: String, revision: u64, period_ms: u64, origin: String } => "order {revision} moves {service} to {version} within {period_ms} ms, from {origin}";
+    /// The phase of an order is new to this daemon. Its calls follow the phase from now on.
+    2102 Info RolloutPhase { service: Name, version: String, revision: u64, phase: &'static str, reason: String } => "order {revision} of {service} to {version} is {phase}: {reason}";
+    /// This daemon decided on an order. The reason names the route and the counts of both versions. Look for MP7003 lines that name the new targets.
+    2103 Warn RolloutDecided { service: Name, version: String, revision: u64, phase: &'static str, reason: String } => "decided that order {revision} of {service} to {version} is {phase}: {reason}";
+    /// An order or a status in the store cannot be used. Nothing changes; correct the value of the key.
+    2104 Error RolloutUnreadable { key: String, reason: String } => "the value of {key} cannot be used: {reason}";
+    /// This daemon wrote the state of an order to the store.
+    2105 Info RolloutWritten { service: Name, version: String, revision: u64, state: String } => "wrote that order {revision} of {service} to {version} is {state}";
+    /// The state of an order could not be written. It is written again until it is; calls follow the decision meanwhile.
+    2106 Warn RolloutUnwritten { service: Name, version: String, reason: String } => "cannot write the state of the order of {service} to {version}: {reason}";
+    /// The target reports another version than others of its service. It gets calls once this daemon has asked for an order.
+    2107 Info TargetHeld { service: Name, version: String } => "target of {service} in version {version} waits until it is known whether there is an order";
+    /// The target has a version that was rolled back. It gets no calls.
+    2108 Warn TargetBarred { service: Name, version: String } => "target of {service} in version {version} gets no calls: the version was rolled back";
+
     /// The status of a member changed.
     3001 Info Member { vm: Vm, status: Status } => "{vm} is {status}";
     /// A datagram was rejected: it is malformed, belongs to another fleet, or has an unsupported protocol version.
--- a/crates/medlarpoint_daemon/src/lib.rs
+++ b/crates/medlarpoint_daemon/src/lib.rs
@@ -36,6 +36,7 @@
 mod reload;
 mod reports;
 mod roles;
+mod rollouts;
 mod server;
 mod services;
 mod settings;
--- a/crates/medlarpoint_daemon/src/outbound_call.rs
+++ b/crates/medlarpoint_daemon/src/outbound_call.rs
@@ -25,7 +25,7 @@
 use crate::pool::{ExchangeError, Pool};
 use crate::state::{ServiceState, Shared, lock};
 use crate::target_selector::TargetSelector;
-use crate::{call_identity, header, inbound};
+use crate::{call_identity, header, inbound, rollouts};
 
 /// Time limit for a query about an attempt.
 const QUERY_TIMEOUT: Duration = Duration::from_secs(1);
@@ -115,6 +115,13 @@
         for (attempt, pending) in self.pending.drain() {
             pending.task.abort();
             lock(&self.service.picker).on_abandoned(now, &pending.vm, attempt);
+            rollouts::count_abandoned(
+                &self.service,
+                &self.resolved,
+                now,
+                &pending.vm,
+                pending.sent_at,
+            );
         }
     }
 }
@@ -168,6 +175,7 @@
             body_bytes,
             fingerprint: self.fingerprint,
             key: self.key,
+            has_picked: false,
         };
         let (mut call, mut actions) = Call::start(now, self.constraints, &mut selector);
         loop {
@@ -274,6 +282,13 @@
             pending.task.abort();
             let now = self.shared.now();
             lock(&self.service.picker).on_abandoned(now, &pending.vm, attempt);
+            rollouts::count_abandoned(
+                &self.service,
+                &self.resolved,
+                now,
+                &pending.vm,
+                pending.sent_at,
+            );
         }
     }
 
@@ -296,6 +311,8 @@
             }
             self.log_attempt(*attempt, &vm, &event, elapsed);
             self.update_picker(now, &vm, *attempt, &event, info, elapsed);
+            let took = info.service_time.unwrap_or(elapsed);
+            rollouts::count_response(&self.service, &self.resolved, now, &vm, &event, took);
             if matches!(event, CallEvent::Responded(..)) {
                 self.pending.remove(attempt);
             }
--- a/crates/medlarpoint_daemon/src/peer.rs
+++ b/crates/medlarpoint_daemon/src/peer.rs
@@ -13,8 +13,8 @@
 use medlarpoint_config::{Distance, history};
 use medlarpoint_model::DataCentre;
 use medlarpoint_wire::{
-    DecodeError, EncodeError, PROTOCOL_VERSION, PullRequest, PullResponse, Record, Suspect,
-    SyncRequest, SyncResponse, Tip, decode, encode,
+    DecodeError, EncodeError, PROTOCOL_VERSION, PullRequest, PullResponse, Record, Rollout,
+    Suspect, SyncRequest, SyncResponse, Tip, decode, encode,
 };
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
@@ -23,7 +23,7 @@
 use crate::pool::ExchangeError;
 use crate::server::accept;
 use crate::state::{Shared, lock};
-use crate::{compression, header, services, suspects};
+use crate::{compression, header, rollouts, services, suspects};
 
 /// Size limit of a control message, in bytes. A compressed message has to stay within
 /// it after decompression as well.
@@ -185,6 +185,15 @@
     Ok(decode(&bytes)?)
 }
 
+/// Requests the orders to move services to new versions from a peer.
+pub(crate) async fn rollouts(
+    shared: &Shared,
+    to: SocketAddr,
+) -> Result<Vec<Rollout>, RequestError> {
+    let bytes = request(shared, to, Distance::Near, "/rollouts", Vec::new()).await?;
+    Ok(decode(&bytes)?)
+}
+
 /// Serves control requests until the daemon closes.
 pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
     let connections = Arc::new(Semaphore::new(MAX_CONNECTIONS));
@@ -270,6 +279,7 @@
         }
         "/history" => handle_history(shared),
         "/suspects" => handle_suspects(shared),
+        "/rollouts" => Ok(encode(&rollouts::known(shared))?),
         _ => Err(Rejection::Path),
     }
 }
--- a/crates/medlarpoint_daemon/src/services.rs
+++ b/crates/medlarpoint_daemon/src/services.rs
@@ -5,11 +5,12 @@
 use indexmap::IndexMap;
 use medlarpoint_config::Distance;
 use medlarpoint_model::Name;
+use medlarpoint_routing::rollout::Target;
 use medlarpoint_routing::{
     Budget, BudgetLimits, Destination, Endpoint, HedgeDelays, Locality, NetworkCosts, Picker,
     Strategy,
 };
-use medlarpoint_wire::{Readiness, Record};
+use medlarpoint_wire::{Readiness, Record, Status};
 
 use crate::state::{Control, ServiceState, Shared, lock};
 
@@ -18,6 +19,7 @@
         Self {
             name,
             picker: Mutex::new(Picker::new(strategy, network_costs, seed)),
+            split: Mutex::default(),
             retries: Mutex::new(Budget::default()),
             hedges: Mutex::new(Budget::default()),
             hedge_delays: Mutex::new(HedgeDelays::default()),
@@ -49,6 +51,35 @@
     Some(BudgetLimits::per_daemon(slack, control.detector.table().members().count()))
 }
 
+/// Divides the ready targets of a service by version if there is an order for the service.
+fn assign_groups(shared: &Shared, control: &Control, state: &ServiceState) {
+    let now = shared.now();
+    let rollout = lock(&shared.rollouts).book.get(now, &state.name);
+    let table = control.detector.table();
+    let ready = table.live().filter_map(|record| {
+        let target = record.target.as_ref().filter(|target| target.service == state.name)?;
+        let is_ready = target.readiness == Readiness::Ready;
+        let (version, order) = (target.version.as_deref(), target.order);
+        is_ready.then_some(Target { vm: &record.vm, version, order })
+    });
+    let ready: Vec<Target<'_>> = ready.collect();
+    let mut split = lock(&state.split);
+    let is_plain = rollout.is_none() && ready.iter().all(|target| target.order.is_none());
+    if is_plain && split.order().is_none() {
+        return;
+    }
+    let version = rollout.as_ref().map(|rollout| &rollout.order.version);
+    let is_old = |record: &Record| {
+        let target = record.target.as_ref().filter(|target| target.service == state.name);
+        target.is_some_and(|target| target.version.as_ref() != version)
+            && record.status != Status::Left
+    };
+    let old_known = table.members().any(|member| is_old(&member.record));
+    let start = rand::random();
+    let groups = split.assign(now, rollout.as_ref(), &ready, old_known, start);
+    lock(&state.picker).set_groups(groups);
+}
+
 /// Replaces the endpoints of each service by those of the live members, and updates
 /// the limits on its budgets.
 pub(crate) fn refresh(shared: &Shared, control: &Control) {
@@ -75,6 +106,7 @@
     for (name, state) in services.iter() {
         let endpoints = targets.swap_remove(name).unwrap_or_default();
         lock(&state.picker).update(endpoints);
+        assign_groups(shared, control, state);
         if let Some(limits) = limits {
             lock(&state.retries).set_limit(limits.max_retries);
             lock(&state.hedges).set_limit(limits.max_hedges);
--- a/crates/medlarpoint_daemon/src/startup.rs
+++ b/crates/medlarpoint_daemon/src/startup.rs
@@ -17,7 +17,7 @@
 use crate::event::Event;
 use crate::settings::Source;
 use crate::state::{Shared, lock};
-use crate::{peer, registry, roles, store_reader, suspects};
+use crate::{peer, registry, roles, rollouts, store_reader, suspects};
 
 /// Number of peers from which a daemon pulls before it serves callers.
 const PEERS_PULLED: usize = 3;
@@ -219,6 +219,10 @@
         {
             lock(&shared.control).history.merge(&entries);
         }
+        // Each peer is asked, since one may not have heard of the newest order yet.
+        if let Ok(known) = peer::rollouts(shared, address).await {
+            rollouts::merge_fetched(shared, &known);
+        }
         if accepted == 1
             && let Ok(known) = peer::suspects(shared, address).await
         {
--- a/crates/medlarpoint_daemon/src/state.rs
+++ b/crates/medlarpoint_daemon/src/state.rs
@@ -1,7 +1,7 @@
 //! State shared by the tasks of a daemon.
 //!
-//! Lock order: `control`, then `services`, then a service's picker, budgets
-//! or hedges, then `intake`, then `waiters`. `suspects` is locked last. `target`, `target_run`, `deregistrations` and
+//! Lock order: `control`, then `services`, then a service's split, then its picker, budgets
+//! or hedges, then `intake`, then `waiters`. `suspects` and `rollouts` are locked last. `target`, `target_run`, `deregistrations` and
 //! `wait_estimator` are not held together with any other lock. No lock is held across
 //! an await except `claim_lease`, which lets one task at a time request a lease, and
 //! `target_check`, which lets one task at a time connect to the target.
@@ -19,6 +19,7 @@
 use medlarpoint_model::{Name, Snapshot, Version};
 use medlarpoint_platform::bounds::Bounds;
 use medlarpoint_platform::store::Client;
+use medlarpoint_routing::rollout::Split;
 use medlarpoint_routing::{
     Budget, Departures, HedgeDelays, Intake, Picker, RouteTable, Suspects, TargetRun, WaitEstimator,
 };
@@ -33,6 +34,7 @@
 use crate::lifecycle::Lifecycle;
 use crate::log::Log;
 use crate::pool::Pool;
+use crate::rollouts::Rollouts;
 use crate::settings::Settings;
 use crate::slowdown::Slowdown;
 use crate::traffic::Traffic;
@@ -56,6 +58,8 @@
 pub(crate) struct ServiceState {
     pub(crate) name: Name,
     pub(crate) picker: Mutex<Picker>,
+    /// Targets by version, and the counts of an order to move the service to a new one.
+    pub(crate) split: Mutex<Split>,
     pub(crate) retries: Mutex<Budget>,
     pub(crate) hedges: Mutex<Budget>,
     /// Delays after which calls of each route get a second attempt.
@@ -94,6 +98,8 @@
     /// Process of the target, if it sends the platform's reports.
     pub(crate) instance: Option<Instance>,
     pub(crate) service: Name,
+    /// Software version, if the target reports one.
+    pub(crate) version: Option<Arc<str>>,
     pub(crate) address: SocketAddr,
     pub(crate) slots: u32,
     pub(crate) connections: u32,
@@ -174,6 +180,8 @@
     pub(crate) suspects: Mutex<Suspects>,
     /// Wakes the task that broadcasts changes of `suspects`.
     pub(crate) suspects_changed: Notify,
+    /// Orders to move services to new versions.
+    pub(crate) rollouts: Mutex<Rollouts>,
     /// Calls that the current process of the target has begun.
     pub(crate) target_run: Mutex<TargetRun>,
     /// Time of the last connection to the target, on the local clock, that was not refused
--- a/crates/medlarpoint_daemon/src/store_reader.rs
+++ b/crates/medlarpoint_daemon/src/store_reader.rs
@@ -13,13 +13,14 @@
 };
 use medlarpoint_membership::{fallback, readers};
 use medlarpoint_model::Snapshot;
-use medlarpoint_platform::operator;
+use medlarpoint_platform::{operator, rollout};
 use medlarpoint_store::{Consistency, Era, Error, Item, Key, Position, Store};
 
 use crate::clock::{jitter, wall_ms};
 use crate::control::Driver;
 use crate::event::Event;
 use crate::roles;
+use crate::rollouts::order_reader;
 use crate::settings::Source;
 use crate::state::{Control, Shared, lock};
 
@@ -57,6 +58,15 @@
     }
 }
 
+/// Returns the prefix of the keys that are read and watched together: the configuration, and
+/// the orders to move services to new versions.
+fn watched_prefix(shared: &Shared) -> Key {
+    match shared.settings.options.source {
+        Source::Commits => head_key(),
+        Source::Operator => rollout::operator_prefix(),
+    }
+}
+
 /// Follows the configuration in the store until the daemon closes.
 pub(crate) async fn run(driver: Arc<Driver>) {
     let shared = Arc::clone(driver.shared());
@@ -126,10 +136,10 @@
         let Some(after) = self.after else {
             return self.read(driver).await;
         };
-        let key = source_key(shared);
+        let (key, prefix) = (source_key(shared), watched_prefix(shared));
         let timeout = fallback::watch_timeout(shared.propagation());
         let result = tokio::select! {
-            result = shared.store.watch(&key, after, timeout) => result,
+            result = shared.store.watch(&prefix, after, timeout) => result,
             () = shared.lifecycle.wait_closed() => return Duration::ZERO,
         };
         let changes = match result {
@@ -137,6 +147,11 @@
             Err(error) => return self.failed(shared, &error),
         };
         self.after = Some(changes.current);
+        for change in &changes.changes {
+            if let Some(item) = &change.item {
+                order_reader::on_change(driver, changes.current.era, &change.key, item);
+            }
+        }
         let newest = changes.changes.into_iter().rev().find(|change| change.key == key);
         if let Some(item) = newest.and_then(|change| change.item) {
             self.apply(driver, &item).await;
@@ -148,15 +163,22 @@
     /// Reads the key and applies its value. Returns the wait before the next task.
     async fn read(&mut self, driver: &Driver) -> Duration {
         let shared = driver.shared();
-        let key = source_key(shared);
-        let listing = match shared.store.list(&key, Consistency::Latest).await {
+        let (key, prefix) = (source_key(shared), watched_prefix(shared));
+        let listing = match shared.store.list(&prefix, Consistency::Latest).await {
             Ok(listing) => listing,
             Err(error) => return self.failed(shared, &error),
         };
+        let era = listing.current.era;
+        let orders = order_reader::on_listing(driver, era, &listing.items).await;
         self.after = Some(listing.current);
         if let Some((_, item)) = listing.items.iter().find(|(found, _)| *found == key) {
             self.apply(driver, item).await;
         }
+        if let Err(error) = orders {
+            // The next read tries again.
+            self.after = None;
+            return self.failed(shared, &error);
+        }
         self.succeeded(driver);
         fallback_pause(shared)
     }
@@ -225,11 +247,15 @@
 /// Reads the configuration once and puts it into force.
 pub(crate) async fn refresh(driver: &Driver) -> Result<(), ReadError> {
     let shared = driver.shared();
-    let result = shared.store.get(&source_key(shared)).await;
+    let key = source_key(shared);
+    let result = shared.store.list(&watched_prefix(shared), Consistency::Latest).await;
     record_store_result(shared, result.as_ref().err());
-    if let Some(item) = result? {
-        apply(driver, &item).await?;
+    let listing = result?;
+    let orders = order_reader::on_listing(driver, listing.current.era, &listing.items).await;
+    if let Some((_, item)) = listing.items.iter().find(|(found, _)| *found == key) {
+        apply(driver, item).await?;
     }
+    orders?;
     driver.on_store_read();
     Ok(())
 }
--- a/crates/medlarpoint_daemon/src/target.rs
+++ b/crates/medlarpoint_daemon/src/target.rs
@@ -12,9 +12,9 @@
 use crate::clock::wall_ms;
 use crate::control::Driver;
 use crate::event::Event;
-use crate::inbound;
 use crate::state::{Shared, TargetState, lock};
 use crate::target_end;
+use crate::{inbound, rollouts};
 
 /// Limit on the slots, and on the connections, of a target.
 const MAX_SLOTS: u32 = 100_000;
@@ -52,7 +52,7 @@
 /// Processes a heartbeat of a target. If the heartbeat says that the target is
 /// draining, no new work is handed over to it once this function returns.
 pub(crate) fn accept_heartbeat(
-    driver: &Driver,
+    driver: &Arc<Driver>,
     instance: &str,
     heartbeat: &Heartbeat,
 ) -> Result<(), ReportError> {
@@ -121,6 +121,7 @@
         previous.filter(|known| known.instance.as_ref().map(Instance::identity) == identity);
     *target = Some(TargetState {
         service: heartbeat.service.clone(),
+        version: heartbeat.version.as_deref().map(Into::into),
         address: heartbeat.address,
         slots: heartbeat.slots,
         connections: UNLIMITED_CONNECTIONS,
@@ -134,7 +135,7 @@
 
 /// Processes the deregistration of a target. No new work is handed over to it once
 /// this function returns.
-pub(crate) fn deregister(driver: &Driver, instance: &str, born_ms: Option<u64>) {
+pub(crate) fn deregister(driver: &Arc<Driver>, instance: &str, born_ms: Option<u64>) {
     let shared = driver.shared();
     lock(&shared.deregistrations).record(shared.now(), instance, born_ms, wall_ms());
     let has_left = {
@@ -154,7 +155,7 @@
 
 /// Processes the announcement of a target through the operators' API. An
 /// announcement that changes nothing has no effect.
-pub(crate) fn announce(driver: &Driver, target: Target) -> Result<(), TargetError> {
+pub(crate) fn announce(driver: &Arc<Driver>, target: Target) -> Result<(), TargetError> {
     if !(1..=MAX_SLOTS).contains(&target.slots) {
         return Err(TargetError::Slots(target.slots));
     }
@@ -169,6 +170,7 @@
         let unchanged = known.as_ref().is_some_and(|known| {
             (&known.service, known.address, known.slots, known.connections)
                 == (&target.service, target.address, target.slots, target.connections)
+                && known.version.as_deref() == target.version.as_deref()
         });
         if unchanged {
             return Ok(());
@@ -176,6 +178,7 @@
         *known = Some(TargetState {
             instance: None,
             silent: false,
+            version: target.version.map(Into::into),
             service: target.service,
             address: target.address,
             slots: target.slots,
@@ -192,7 +195,7 @@
 }
 
 /// Stops handing over new work to the target, or resumes it.
-pub(crate) fn drain(driver: &Driver, draining: bool) -> Result<(), TargetError> {
+pub(crate) fn drain(driver: &Arc<Driver>, draining: bool) -> Result<(), TargetError> {
     let shared = driver.shared();
     let service = {
         let mut target = lock(&shared.target);
@@ -208,14 +211,15 @@
 }
 
 /// Applies the target's state to the intake and announces it to the fleet.
-fn publish(driver: &Driver) {
+fn publish(driver: &Arc<Driver>) {
     let shared = driver.shared();
     let usable = inbound::usable_slots(shared);
     let state = lock(&shared.target).clone();
     let Some(state) = state else {
         return;
     };
-    let draining = state.readiness == Readiness::Draining;
+    let admission = rollouts::admit(driver, &state);
+    let draining = state.readiness == Readiness::Draining || !admission.may_serve;
     let actions = {
         let now = shared.now();
         let mut intake = lock(&shared.intake);
@@ -227,7 +231,13 @@
     inbound::perform(shared, actions);
     let readiness =
         if draining || state.down || state.silent { Readiness::Draining } else { Readiness::Ready };
-    let announcement = Announcement { service: state.service, slots: state.slots, readiness };
+    let announcement = Announcement {
+        service: state.service,
+        slots: state.slots,
+        readiness,
+        version: state.version,
+        order: admission.order,
+    };
     driver.update_record(|record| record.target = Some(announcement));
 }
 
@@ -263,7 +273,7 @@
 
 /// Takes a target out of service if its heartbeats have stopped, until the next one
 /// arrives.
-fn check_heartbeat(driver: &Driver, shared: &Shared) {
+fn check_heartbeat(driver: &Arc<Driver>, shared: &Shared) {
     let now = shared.now();
     let (instance, silence_ms) = {
         let mut target = lock(&shared.target);
@@ -286,7 +296,7 @@
 
 /// Takes a target out of service after [`inbound::TARGET_FAILURE_THRESHOLD`] failed
 /// connections, until it accepts connections again.
-async fn check_health(driver: &Driver, shared: &Shared) {
+async fn check_health(driver: &Arc<Driver>, shared: &Shared) {
     let Some(target) = lock(&shared.target).clone() else {
         return;
     };
--- a/crates/medlarpoint_membership/src/detector.rs
+++ b/crates/medlarpoint_membership/src/detector.rs
@@ -262,6 +262,8 @@
             | Body::Fresh { .. }
             | Body::Report { .. }
             | Body::Suspects { .. }
+            | Body::Rollouts { .. }
+            | Body::RolloutReport { .. }
             | Body::Receipt { .. } => {}
         }
         actions
@@ -571,6 +573,7 @@
             summaries: self.summaries.take(now, self.options.max_summary_age),
             table_digests: if digests { self.table.digests() } else { Vec::new() },
             suspects: Vec::new(),
+            rollouts: Vec::new(),
         }
     }
 
--- a/crates/medlarpoint_routing/src/candidate.rs
+++ b/crates/medlarpoint_routing/src/candidate.rs
@@ -6,6 +6,7 @@
 use medlarpoint_model::Name;
 
 use crate::picker::{CallInfo, Endpoint, Locality, NetworkCosts, ResponseInfo};
+use crate::rollout::Group;
 use crate::{AttemptId, Breaker, Generation, LARGE_MESSAGE_BYTES, Latency, Load};
 
 /// Time after which a load report has lost most of its weight.
@@ -53,6 +54,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Candidate {
     pub(crate) endpoint: Endpoint,
+    /// Group with respect to the order of the service.
+    pub(crate) group: Group,
     outstanding: IndexMap<AttemptId, Outstanding>,
     /// Last load report.
     load: Load,
@@ -78,6 +81,7 @@
     pub(crate) fn new(endpoint: Endpoint) -> Self {
         Self {
             endpoint,
+            group: Group::default(),
             outstanding: IndexMap::new(),
             load: Load::default(),
             load_at: Duration::ZERO,
--- a/crates/medlarpoint_routing/src/lib.rs
+++ b/crates/medlarpoint_routing/src/lib.rs
@@ -24,6 +24,7 @@
 mod picker;
 mod priority;
 mod request_link;
+pub mod rollout;
 mod route_table;
 mod scheduler;
 mod service_times;
--- a/crates/medlarpoint_routing/src/picker.rs
+++ b/crates/medlarpoint_routing/src/picker.rs
@@ -10,6 +10,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::candidate::Candidate;
+use crate::rollout::{Choice, Group};
 use crate::{AttemptId, IdempotencyKey, Load};
 
 /// Service time assumed for a route until a target has responded on it.
@@ -172,6 +173,19 @@
         }
     }
 
+    /// Sets the group of each target with respect to the order of the service.
+    pub fn set_groups(&mut self, groups: &IndexMap<Vm, Group>) {
+        for (vm, candidate) in &mut self.targets {
+            candidate.group = groups.get(vm).copied().unwrap_or_default();
+        }
+    }
+
+    /// Returns the number of attempts of this proxy that are outstanding at a group of targets.
+    pub fn outstanding(&self, choice: Choice) -> usize {
+        let chosen = self.targets.values().filter(|c| choice.allows(c.group));
+        chosen.map(Candidate::outstanding).sum()
+    }
+
     /// Returns whether there is no target.
     pub fn is_empty(&self) -> bool {
         self.targets.is_empty()
@@ -191,8 +205,21 @@
         exclude: &[Vm],
         busy: &[Vm],
     ) -> Option<Destination> {
-        let allowed =
-            |candidate: &&Candidate| !exclude.contains(&candidate.endpoint.destination.vm);
+        self.pick_from(Choice::All, now, call, exclude, busy)
+    }
+
+    /// Selects a target for an attempt among some groups of targets.
+    pub fn pick_from(
+        &mut self,
+        choice: Choice,
+        now: Duration,
+        call: &CallInfo<'_>,
+        exclude: &[Vm],
+        busy: &[Vm],
+    ) -> Option<Destination> {
+        let allowed = |candidate: &&Candidate| {
+            choice.allows(candidate.group) && !exclude.contains(&candidate.endpoint.destination.vm)
+        };
         let all: Vec<&Candidate> = self.targets.values().filter(allowed).collect();
         let selected = match self.strategy {
             Strategy::Random => all.iter().copied().choose(&mut self.rng),
@@ -226,16 +253,29 @@
         median_service_time(&all, route)
     }
 
-    /// Selects a target by rendezvous hashing of a key. Proxies with the same view of
-    /// the targets select the same one; targets in another region come last.
-    pub fn pick_keyed(&self, key: IdempotencyKey, exclude: &[Vm]) -> Option<Destination> {
+    /// Returns the median service time of a route over a group of targets.
+    pub fn median_service_time_of(&self, choice: Choice, route: &Name) -> Option<Duration> {
+        let group = self.targets.values().filter(|c| choice.allows(c.group));
+        median_service_time(&group.collect::<Vec<_>>(), route)
+    }
+
+    /// Selects a target among some groups by rendezvous hashing of a key. Proxies with the
+    /// same view of the targets select the same one; targets in another region come last.
+    pub fn pick_keyed(
+        &self,
+        choice: Choice,
+        key: IdempotencyKey,
+        exclude: &[Vm],
+    ) -> Option<Destination> {
         let weight = |vm: &Vm| {
             let mut bytes = key.0.to_le_bytes().to_vec();
             bytes.extend_from_slice(vm.as_str().as_bytes());
             rapidhash::v3::rapidhash_v3(&bytes)
         };
-        let allowed =
-            self.targets.values().filter(|c| !exclude.contains(&c.endpoint.destination.vm));
+        let allowed = self
+            .targets
+            .values()
+            .filter(|c| choice.allows(c.group) && !exclude.contains(&c.endpoint.destination.vm));
         let selected = allowed.min_by_key(|c| {
             (c.endpoint.locality == Locality::Remote, weight(&c.endpoint.destination.vm))
         })?;
--- a/crates/medlarpoint_standin/src/target.rs
+++ b/crates/medlarpoint_standin/src/target.rs
@@ -254,7 +254,8 @@
     /// Starts the announcements.
     pub fn start(api: SocketAddr, service: Name, address: SocketAddr, slots: u32) -> Self {
         let http = HttpClient::new(Duration::from_secs(1));
-        let target = Target { service, address, slots, connections: slots.max(120) };
+        let version = None;
+        let target = Target { service, address, slots, connections: slots.max(120), version };
         let task = tokio::spawn(async move {
             loop {
                 // A failed announcement is repeated sooner.
--- a/crates/medlarpoint_wire/src/datagram.rs
+++ b/crates/medlarpoint_wire/src/datagram.rs
@@ -1,9 +1,9 @@
 //! Content of a datagram.
 
-use medlarpoint_model::{Version, Vm};
+use medlarpoint_model::{Name, Version, Vm};
 use serde::{Deserialize, Serialize};
 
-use crate::{BootId, DataCentreSummary, Record, Suspect, TableDigest, Tip};
+use crate::{BootId, DataCentreSummary, Record, Rollout, RolloutRoute, Suspect, TableDigest, Tip};
 
 /// State that is piggybacked on probes and their acknowledgements.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -23,6 +23,9 @@
     /// A few of the calls under which targets have crashed.
     #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<Suspect>,
+    /// A few of the orders to move services to new versions.
+    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<Rollout>,
 }
 
 /// Content of a datagram.
@@ -110,6 +113,37 @@
         #[serde(rename = "s")]
         suspects: Vec<Suspect>,
     },
+    /// Propagates an order to move a service to a new version, or a new phase of one.
+    #[serde(rename = "o")]
+    Rollouts {
+        /// VM of the daemon that broadcasts this.
+        #[serde(rename = "o")]
+        origin: Vm,
+        /// What it knows about the orders.
+        #[serde(rename = "s")]
+        rollouts: Vec<Rollout>,
+    },
+    /// Reports the responses that the sender has counted during an order to the daemons that
+    /// decide on it.
+    #[serde(rename = "c")]
+    RolloutReport {
+        /// Service of the order.
+        #[serde(rename = "s")]
+        service: Name,
+        /// Revision of the order.
+        #[serde(rename = "n")]
+        revision: u64,
+        /// Run of the sender; counts start anew with each.
+        #[serde(rename = "b")]
+        boot: BootId,
+        /// Whether the sender sends all calls to the new version and has none in flight at
+        /// targets of the old one.
+        #[serde(rename = "d")]
+        settled: bool,
+        /// Counts of some routes.
+        #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+        routes: Vec<RolloutRoute>,
+    },
     /// Acknowledges a [`Body::Report`].
     #[serde(rename = "k")]
     Receipt {
--- a/crates/medlarpoint_wire/src/frame/tests.rs
+++ b/crates/medlarpoint_wire/src/frame/tests.rs
@@ -6,7 +6,8 @@
 
 use super::{DecodeError, Frame, MAX_DATAGRAM_BYTES, PROTOCOL_VERSION, decode, encode};
 use crate::{
-    Body, Gossip, PullRequest, PullResponse, Record, Suspect, SyncRequest, SyncResponse, Tip,
+    Announcement, Body, BootId, Gossip, PullRequest, PullResponse, Readiness, Record, RolloutRoute,
+    RolloutTally, Suspect, SyncRequest, SyncResponse, Tip,
 };
 
 fn fleet() -> Name {
@@ -43,6 +44,52 @@
     assert_eq!(Frame::decode(&bytes, &fleet()).unwrap(), sent);
 }
 
+/// Announcement as an earlier release knows it.
+#[derive(Debug, Serialize, Deserialize)]
+struct EarlierAnnouncement {
+    s: Name,
+    n: u32,
+    g: Readiness,
+}
+
+/// Guards against records that daemons of neighbouring releases cannot decode.
+#[test]
+fn announcements_with_and_without_a_version_are_decoded_by_both_releases() {
+    let service: Name = "desk".parse().unwrap();
+    let later = Announcement {
+        service: service.clone(),
+        slots: 4,
+        readiness: Readiness::Ready,
+        version: Some("v2".into()),
+        order: Some(7),
+    };
+    let seen: EarlierAnnouncement = decode(&encode(&later).unwrap()).unwrap();
+    assert_eq!((seen.s, seen.n, seen.g), (service.clone(), 4, Readiness::Ready));
+    let earlier = EarlierAnnouncement { s: service, n: 4, g: Readiness::Ready };
+    let seen: Announcement = decode(&encode(&earlier).unwrap()).unwrap();
+    assert_eq!((seen.version, seen.order), (None, None));
+}
+
+#[test]
+fn a_report_on_an_order_fits_into_a_datagram() {
+    let vm: Vm = "a-rather-long-name-of-a-vm-in-some-data-centre-17".parse().unwrap();
+    let name: Name = "a-rather-long-name-of-a-route-or-service-17".parse().unwrap();
+    let tally = RolloutTally { responses: 100_000, failures: 100_000, slow: 100_000 };
+    let targets = vec![(vm.clone(), tally); 4];
+    let route = RolloutRoute { route: name.clone(), old: tally, new: tally, targets };
+    let body = Body::RolloutReport {
+        service: name,
+        revision: u64::MAX,
+        boot: BootId(u64::MAX),
+        settled: true,
+        routes: vec![route; 2],
+    };
+    let sent = Frame { protocol: PROTOCOL_VERSION, fleet: fleet(), from: vm, body };
+    let bytes = encode(&sent).unwrap();
+    assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{} bytes", bytes.len());
+    assert_eq!(Frame::decode(&bytes, &fleet()).unwrap(), sent);
+}
+
 /// Frame as a later release may send it, with an additional field.
 #[derive(Serialize, Deserialize)]
 struct LaterFrame {
--- a/crates/medlarpoint_wire/src/lib.rs
+++ b/crates/medlarpoint_wire/src/lib.rs
@@ -7,6 +7,7 @@
 mod datagram;
 mod frame;
 mod record;
+mod rollout;
 mod summary;
 mod suspect;
 mod sync;
@@ -17,6 +18,7 @@
     DecodeError, EncodeError, Frame, MAX_DATAGRAM_BYTES, PROTOCOL_VERSION, decode, encode,
 };
 pub use record::{Announcement, BootId, Incarnation, LatencyBucket, Readiness, Record, Status};
+pub use rollout::{Rollout, RolloutPhase, RolloutRoute, RolloutTally};
 pub use summary::{DataCentreSummary, Laggard};
 pub use suspect::Suspect;
 pub use sync::{RecordVersion, SyncRequest, SyncResponse, TableDigest};
--- a/crates/medlarpoint_wire/src/record.rs
+++ b/crates/medlarpoint_wire/src/record.rs
@@ -1,6 +1,7 @@
 //! Record of a member, as daemons exchange it.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use medlarpoint_model::{DataCentre, Name, Region, Vm};
 use serde::{Deserialize, Serialize};
@@ -64,6 +65,13 @@
     /// Whether the target accepts new calls.
     #[serde(rename = "g")]
     pub readiness: Readiness,
+    /// Software version of the target, if it reports one.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<Arc<str>>,
+    /// Revision of the order for this version that the target's daemon knows. A daemon that
+    /// does not know that order sends the target no calls.
+    #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
+    pub order: Option<u64>,
 }
 
 /// Round-trip time in power-of-two buckets: the number of bits of its
