--- a/crates/medlarpoint_daemon/src/lib.rs
+++ b/crates/medlarpoint_daemon/src/lib.rs
@@ -38,6 +38,7 @@
 mod reload;
 mod reports;
 mod roles;
+mod rollouts;
 mod server;
 mod services;
 mod settings;
--- a/crates/medlarpoint_membership/src/detector.rs
+++ b/crates/medlarpoint_membership/src/detector.rs
@@ -264,6 +264,8 @@
             | Body::Suspects { .. }
             | Body::QuotaRequest { .. }
             | Body::QuotaGrant { .. }
+            | Body::Rollouts { .. }
+            | Body::RolloutReport { .. }
             | Body::Receipt { .. } => {}
         }
         actions
@@ -573,6 +575,7 @@
             summaries: self.summaries.take(now, self.options.max_summary_age),
             table_digests: if digests { self.table.digests() } else { Vec::new() },
             suspects: Vec::new(),
+            rollouts: Vec::new(),
         }
     }
 
--- a/crates/medlarpoint_routing/src/lib.rs
+++ b/crates/medlarpoint_routing/src/lib.rs
@@ -27,6 +27,7 @@
 mod priority;
 pub mod quota;
 mod request_link;
+pub mod rollout;
 mod route_table;
 mod scheduler;
 mod service_times;
--- a/crates/medlarpoint_wire/src/lib.rs
+++ b/crates/medlarpoint_wire/src/lib.rs
@@ -8,6 +8,7 @@
 mod frame;
 mod quota;
 mod record;
+mod rollout;
 mod summary;
 mod suspect;
 mod sync;
@@ -19,6 +20,7 @@
 };
 pub use quota::{QuotaLoan, QuotaReturn, QuotaWant};
 pub use record::{Announcement, BootId, Incarnation, LatencyBucket, Readiness, Record, Status};
+pub use rollout::{Rollout, RolloutPhase, RolloutRoute, RolloutTally};
 pub use summary::{DataCentreSummary, Laggard};
 pub use suspect::Suspect;
 pub use sync::{RecordVersion, SyncRequest, SyncResponse, TableDigest};
