Pace of a target that has just started or recovered

Cause: a fixed ramp (policy.ramp_ms) either overloads a cold target or leaves it idle, and targets that report had no ramp at all.

Change: medlarpoint_routing::pace, a limit on the calls in flight that follows from the target's answers. The outbound proxy sends the median of its targets in medlarpoint-expected-ms, which a caller cannot set. A process that has run for longer than its warm-up starts with all slots. The fixed ramp is removed; the field of the policy is accepted and ignored, also for targets announced through the API.

Tested: cargo test of medlarpoint_routing and of the library of medlarpoint_daemon, clippy of model, routing, daemon and bench.

--- a/crates/medlarpoint_bench/src/experiment/call_flags.rs
+++ b/crates/medlarpoint_bench/src/experiment/call_flags.rs
@@ -102,7 +102,7 @@
         fleet.wait_members(fleet.members.len() as u32).await?;
         let (_, version) = fleet.apply(0, self.preset.document()).await?;
         fleet.wait_version(version).await?;
-        // Cold targets ramp up to all their slots over 500 ms.
+        // Connections between the daemons settle.
         tokio::time::sleep(Duration::from_secs(1)).await;
         Ok(fleet)
     }
--- a/crates/medlarpoint_daemon/src/control.rs
+++ b/crates/medlarpoint_daemon/src/control.rs
@@ -206,15 +206,11 @@
         let Some(target) = target else {
             return;
         };
-        let (service, sends_reports) = (target.service, target.instance.is_some());
+        let service = target.service;
         let in_force = self.shared.in_force.load();
         let policy = in_force.snapshot.service(&service).and_then(|s| s.policy.as_ref());
         let policy = policy.and_then(|name| in_force.snapshot.policy(name));
-        let mut policy = policy.cloned().unwrap_or_default();
-        if sends_reports {
-            // The target reports its own warm-up time, and callers measure its latency.
-            policy.ramp_ms = 0;
-        }
+        let policy = policy.cloned().unwrap_or_default();
         lock(&self.shared.intake).scheduler_mut().set_policy(policy);
     }
 
--- a/crates/medlarpoint_daemon/src/daemon.rs
+++ b/crates/medlarpoint_daemon/src/daemon.rs
@@ -335,7 +335,8 @@
     let detector = Detector::new(membership, own_record, clock.now(), rand::random());
     let replica = Replica::default();
     let in_force = InForce::new(Arc::clone(replica.current()));
-    let mut intake = Intake::new(options.vm.clone(), boot, Policy::default(), clock.now());
+    let mut intake = Intake::new(options.vm.clone(), boot, Policy::default());
+    intake.scheduler_mut().set_target_pace(clock.now(), options.routing.target_pace);
     intake.scheduler_mut().set_link(settings.response_link());
     intake.scheduler_mut().set_request_link(settings.request_link());
     let control = Control {
--- a/crates/medlarpoint_daemon/src/event.rs
+++ b/crates/medlarpoint_daemon/src/event.rs
@@ -188,6 +188,13 @@
     /// This daemon's target has answered a call under which targets had crashed.
     5016 Info SuspectCleared { call: Fingerprint, crashes: u32 } => "call {call} was answered after {crashes} crashes in a row";
 
+    /// The usable slots of the target were cut because its answers took much longer than their routes usually take, or because it rejected calls. They rise again as its answers allow. Written at most once a second with the cuts since the last line.
+    5101 Warn PaceCut { cuts: u32, usable: u32, slots: u32 } => "usable slots cut {cuts} times, now {usable} of {slots}";
+    /// All slots of the target are usable. Written at most once a second.
+    5102 Info PaceFull { slots: u32 } => "all {slots} slots of the target are usable";
+    /// A process became the target while `routing.target_pace` is on. A process that has run for longer than it takes to warm up starts with all its slots.
+    5103 Info PaceStarted { instance: String, warm: bool, usable: u32, slots: u32 } => "process {instance} starts with {usable} of {slots} slots (warm: {warm})";
+
     /// The connection limit of a listener is reached; new connections are closed immediately.
     5005 Warn ConnectionLimit { listener: String, limit: usize } => "{listener} has reached its limit of {limit} connections";
 
--- a/crates/medlarpoint_daemon/src/handover.rs
+++ b/crates/medlarpoint_daemon/src/handover.rs
@@ -31,10 +31,10 @@
     in_flight: InFlightAttempt,
 ) -> Response<Body> {
     let Some(target) = lock(&shared.target).clone() else {
-        return reject(&shared, in_flight, FailurePoint::TargetConnect);
+        return reject(&shared, in_flight, Completion::NotRun, FailurePoint::TargetConnect);
     };
     if !matches_service(&parts.headers, &target.service) {
-        return reject(&shared, in_flight, FailurePoint::TargetConnect);
+        return reject(&shared, in_flight, Completion::NotRun, FailurePoint::TargetConnect);
     }
     let fingerprint = call_identity::of_attempt(&parts, &body);
     learn_suspicion(&shared, &parts.headers, fingerprint);
@@ -68,7 +68,7 @@
         Ok(Err(ExchangeError::Connect(_))) => {
             handed_over.withdraw();
             record_connection(&shared, false);
-            return reject(&shared, in_flight, FailurePoint::TargetConnect);
+            return reject(&shared, in_flight, Completion::NotRun, FailurePoint::TargetConnect);
         }
         Ok(Err(ExchangeError::Lost(_))) => {
             let ended = handed_over.has_target_ended(&target).await;
@@ -95,7 +95,11 @@
             if buffer(incoming, MAX_BUFFERED_BYTES).await.is_ok() {
                 connection.release();
             }
-            return reject(&shared, in_flight, FailurePoint::TargetShed);
+            let completion = match class {
+                ResponseClass::NotRun => Completion::Rejected,
+                _ => Completion::NotRun,
+            };
+            return reject(&shared, in_flight, completion, FailurePoint::TargetShed);
         }
         ResponseClass::Unverified => {
             return lose(in_flight, FailurePoint::TargetGarbled);
@@ -174,6 +178,8 @@
             body
         }
         Buffered::Partial(prefix, rest) => {
+            let now = shared.now();
+            lock(&shared.intake).answered(now, info.attempt);
             Body::with_prefix(prefix, rest, EndAction::Attempt(Box::new(in_flight), connection))
         }
     };
@@ -187,8 +193,13 @@
 
 /// Ends an attempt of which nothing was sent to the target, or that the target
 /// states it has not run.
-fn reject(shared: &Arc<Shared>, in_flight: InFlightAttempt, point: FailurePoint) -> Response<Body> {
-    in_flight.end(Completion::NotRun);
+fn reject(
+    shared: &Arc<Shared>,
+    in_flight: InFlightAttempt,
+    completion: Completion<SavedResponse>,
+    point: FailurePoint,
+) -> Response<Body> {
+    in_flight.end(completion);
     let retry_after = Duration::from_millis(100);
     let reply = Reply::NotRun { point, rejection: None, retry_after };
     respond(shared, reply)
@@ -260,6 +271,7 @@
         header::LEAVING,
         header::FINGERPRINT,
         header::SUSPICION,
+        header::EXPECTED_MS,
     ] {
         headers.remove(name);
     }
--- a/crates/medlarpoint_daemon/src/header.rs
+++ b/crates/medlarpoint_daemon/src/header.rs
@@ -60,6 +60,9 @@
 /// What the sender knows of crashes under the call: acquittals, crashes in a row and the
 /// time since the last, in milliseconds.
 pub(crate) const SUSPICION: HeaderName = HeaderName::from_static("medlarpoint-suspicion");
+/// Time that the route usually takes at the targets of the service, in milliseconds, as the
+/// outbound proxy has seen it.
+pub(crate) const EXPECTED_MS: HeaderName = HeaderName::from_static("medlarpoint-expected-ms");
 /// Process of the target that has said that it leaves, by its start time and id: in a
 /// response, the one that the inbound proxy knows of; in an attempt, the one that the
 /// outbound proxy knows of.
--- a/crates/medlarpoint_daemon/src/inbound.rs
+++ b/crates/medlarpoint_daemon/src/inbound.rs
@@ -286,6 +286,7 @@
         useful_until: useful_until(headers, now),
         may_spill: headers.contains_key(&header::SPILL),
         suspect: is_suspect(shared, headers),
+        expected: header::millis(headers, &header::EXPECTED_MS),
         deadline: now + time_left,
         key,
         idempotency,
--- a/crates/medlarpoint_daemon/src/outbound_call/attempt_request.rs
+++ b/crates/medlarpoint_daemon/src/outbound_call/attempt_request.rs
@@ -11,8 +11,8 @@
 use crate::{header, inbound};
 
 /// Headers that a caller may not set.
-const SET_BY_PROXIES: [HeaderName; 4] =
-    [header::SPILL, header::LEAVING, header::FINGERPRINT, header::SUSPICION];
+const SET_BY_PROXIES: [HeaderName; 5] =
+    [header::SPILL, header::LEAVING, header::FINGERPRINT, header::SUSPICION, header::EXPECTED_MS];
 
 impl OutboundCall {
     /// Builds the request of an attempt. `may_spill` permits a busy inbound proxy to reject it
@@ -29,10 +29,7 @@
         let path = self.parts.uri.path_and_query().cloned();
         *request.uri_mut() = path.map(Uri::from).unwrap_or_default();
         let headers = request.headers_mut();
-        *headers = self.parts.headers.clone();
-        for name in SET_BY_PROXIES {
-            headers.remove(name);
-        }
+        *headers = forwarded(&self.parts.headers);
         if !headers.contains_key(http::header::HOST)
             && let Some(authority) = self.parts.uri.authority()
         {
@@ -58,12 +55,24 @@
         if let Some(process) = leaving {
             header::set(headers, header::LEAVING, &process);
         }
+        if let Some(expected) = self.expected_time() {
+            header::set(headers, header::EXPECTED_MS, &expected.as_millis().to_string());
+        }
         if may_spill {
             headers.insert(header::SPILL, HeaderValue::from_static("yes"));
         }
         request
     }
 
+    /// Returns the median service time of the route over the targets, if inbound proxies use
+    /// it.
+    fn expected_time(&self) -> Option<Duration> {
+        if !self.shared.settings.options.routing.target_pace {
+            return None;
+        }
+        lock(&self.service.picker).median_service_time(&self.resolved.route.name)
+    }
+
     /// Names the call, and what is known of crashes under it.
     fn set_fingerprint(&self, now: Duration, headers: &mut HeaderMap) {
         let Some(fingerprint) = self.fingerprint else {
@@ -76,3 +85,15 @@
         }
     }
 }
+
+/// Returns the caller's headers that are passed on.
+fn forwarded(headers: &HeaderMap) -> HeaderMap {
+    let mut headers = headers.clone();
+    for name in SET_BY_PROXIES {
+        headers.remove(name);
+    }
+    headers
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/medlarpoint_daemon/src/settings.rs
+++ b/crates/medlarpoint_daemon/src/settings.rs
@@ -218,6 +218,9 @@
     /// Cost of a kilobyte sent to another region, expressed as additional wait in
     /// milliseconds.
     pub remote_ms_per_kb: u64,
+    /// Whether the usable slots of a target that has just started, or that is overloaded,
+    /// follow from its answers. If not, all slots are usable at once.
+    pub target_pace: bool,
 }
 
 impl Default for RoutingOptions {
@@ -227,6 +230,7 @@
             strategy: Strategy::default().to_string(),
             region_ms_per_kb: costs.region_per_kilobyte.as_millis() as u64,
             remote_ms_per_kb: costs.remote_per_kilobyte.as_millis() as u64,
+            target_pace: false,
         }
     }
 }
--- a/crates/medlarpoint_daemon/src/target.rs
+++ b/crates/medlarpoint_daemon/src/target.rs
@@ -15,6 +15,7 @@
 use crate::inbound;
 use crate::state::{Shared, TargetState, lock};
 use crate::target_end;
+use crate::target_pace::{self, Reporter};
 
 /// Limit on the slots, and on the connections, of a target.
 const MAX_SLOTS: u32 = 100_000;
@@ -93,9 +94,16 @@
             if let Some(previous) = &previous {
                 target_end::on_replaced(shared, previous);
             }
-            lock(&shared.intake).scheduler_mut().on_target_replaced();
+            let warm = target_pace::is_warm(heartbeat, wall_ms());
+            {
+                let now = shared.now();
+                let mut intake = lock(&shared.intake);
+                intake.scheduler_mut().on_target_replaced();
+                intake.scheduler_mut().on_target_started(now, warm);
+            }
             driver.refresh_policy();
             publish(driver);
+            target_pace::log_start(shared, instance, warm);
         }
         Effect::ReadinessChanged => {
             if heartbeat.draining {
@@ -238,6 +246,7 @@
     let mut timer = tokio::time::interval(SWEEP_INTERVAL);
     timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut sweeps = 0_u32;
+    let mut pace_reporter = Reporter::default();
     loop {
         tokio::select! {
             _ = timer.tick() => {}
@@ -248,6 +257,7 @@
             lock(&shared.intake).sweep(now)
         };
         inbound::perform(&shared, actions);
+        pace_reporter.report(&shared);
         if shared.target_changed.swap(false, Ordering::AcqRel) {
             publish(&driver);
         }
--- a/crates/medlarpoint_model/src/policy.rs
+++ b/crates/medlarpoint_model/src/policy.rs
@@ -21,8 +21,8 @@
     pub retry_budget_percent: u8,
     /// Maximum number of hedged attempts, in percent of first attempts.
     pub hedge_budget_percent: u8,
-    /// Slow-start period over which the usable slots of a new target rise to their
-    /// full number, in milliseconds.
+    /// Ignored. Earlier versions raised the usable slots of a new target over this time, in
+    /// milliseconds; now the setting `routing.target_pace` decides.
     pub ramp_ms: u64,
     /// Weight of each tenant in the queue; tenants not listed have weight 1.
     #[serde(skip_serializing_if = "IndexMap::is_empty")]
--- a/crates/medlarpoint_routing/src/attempt.rs
+++ b/crates/medlarpoint_routing/src/attempt.rs
@@ -82,6 +82,8 @@
     pub deadline: Duration,
     /// Whether targets have crashed under the call.
     pub suspect: bool,
+    /// Time that the route usually takes at the targets of the service, if the sender knows.
+    pub expected: Option<Duration>,
     /// Idempotency key of a call that may not be repeated.
     pub key: Option<IdempotencyKey>,
     /// Mechanism that keeps the key from running twice.
--- a/crates/medlarpoint_routing/src/forecast/tests.rs
+++ b/crates/medlarpoint_routing/src/forecast/tests.rs
@@ -28,6 +28,7 @@
         useful_until: Some(NOW + Duration::from_millis(useful_ms)),
         may_spill: false,
         suspect: false,
+        expected: None,
         arrived: NOW,
         deadline: NOW + Duration::from_secs(5),
     }
--- a/crates/medlarpoint_routing/src/intake.rs
+++ b/crates/medlarpoint_routing/src/intake.rs
@@ -12,6 +12,7 @@
 use crate::fence::Fence;
 use crate::finished::Finished;
 use crate::idempotency::{IdempotencyWindow, KeyOutcome, KeyState};
+use crate::pace::{CallEnd, End};
 use crate::{
     Admission, AttemptId, AttemptInfo, AttemptStatus, Claim, Decision, FailurePoint,
     IdempotencyKey, Load, Rejection, Scheduler, Ticket,
@@ -107,9 +108,10 @@
     /// The target responded. Holds the response if it is to be stored, which
     /// applies to small responses to calls with a key.
     Responded(Option<A>),
-    /// The target did not run the call, because no connection could be made or
-    /// because it rejected the call.
+    /// The target did not run the call, because no connection could be made.
     NotRun,
+    /// The target rejected the call and did not run it.
+    Rejected,
     /// The connection to the target failed after bytes were sent, or its response
     /// was invalid or late.
     Lost,
@@ -134,6 +136,10 @@
     phase: Phase,
     /// Whether the sender has cancelled the attempt.
     cancelled: bool,
+    /// How the call ended at the target, as far as is known.
+    end: End,
+    /// Whether the scheduler has been told of the end, while the response is still sent.
+    end_counted: bool,
 }
 
 /// The inbound side of one target.
@@ -155,11 +161,11 @@
 
 impl<A: Clone> Intake<A> {
     /// Creates an intake whose target has no slots yet.
-    pub fn new(vm: Vm, boot: u64, policy: Policy, now: Duration) -> Self {
+    pub fn new(vm: Vm, boot: u64, policy: Policy) -> Self {
         Self {
             vm,
             boot,
-            scheduler: Scheduler::new(0, policy, now),
+            scheduler: Scheduler::new(0, policy),
             window: IdempotencyWindow::default(),
             fence: Fence::default(),
             finished: Finished::default(),
@@ -269,7 +275,16 @@
         if let Some(key) = info.key {
             self.window.activate(key, info.attempt);
         }
-        self.pending.insert(info.attempt, PendingAttempt { info, phase, cancelled: false });
+        self.pending.insert(
+            info.attempt,
+            PendingAttempt {
+                info,
+                phase,
+                cancelled: false,
+                end: End::Withdrawn,
+                end_counted: false,
+            },
+        );
     }
 
     /// Starts an attempt that holds a slot, with the claim of its key if it needs
@@ -323,6 +338,19 @@
         }
     }
 
+    /// Records that the target has answered a call whose response is still sent to its
+    /// caller, as large ones are. The rest of that time is not the target's.
+    pub fn answered(&mut self, now: Duration, attempt: AttemptId) {
+        let Some(mut pending) = self.pending.get(&attempt).cloned() else {
+            return;
+        };
+        pending.end = End::Answered;
+        self.count_end(now, &pending);
+        if let Some(pending) = self.pending.get_mut(&attempt) {
+            pending.end_counted = true;
+        }
+    }
+
     /// Handles the result of a call that was handed over.
     pub fn completed(
         &mut self,
@@ -330,8 +358,22 @@
         attempt: AttemptId,
         completion: Completion<A>,
     ) -> Vec<Action<A>> {
+        if let Some(pending) = self.pending.get_mut(&attempt) {
+            pending.end = match completion {
+                Completion::Responded(_) => End::Answered,
+                Completion::Lost => End::Unanswered,
+                // Such rejections come from the rate of calls, or from the shutdown.
+                Completion::Rejected
+                    if self.draining || self.scheduler.target_limit().is_some() =>
+                {
+                    End::Withdrawn
+                }
+                Completion::Rejected => End::Rejected,
+                Completion::NotRun => End::Withdrawn,
+            };
+        }
         let (end, outcome) = match completion {
-            Completion::NotRun => {
+            Completion::NotRun | Completion::Rejected => {
                 return self.end_not_run(now, attempt, FailurePoint::TargetConnect);
             }
             Completion::Responded(response) => {
@@ -503,6 +545,7 @@
         if pending.info.suspect {
             self.scheduler.on_suspect_ended();
         }
+        self.count_end(now, pending);
         let took = match pending.phase {
             Phase::Running { since } => Some(now.saturating_sub(since)),
             Phase::Queued | Phase::Receiving { .. } | Phase::Claiming => None,
@@ -510,6 +553,22 @@
         let decisions = self.scheduler.release(now, pending.info.class, &pending.info.route, took);
         self.apply(now, decisions)
     }
+
+    /// Tells the scheduler how a call at the target ended. Suspects are left out: they may
+    /// take the target down whatever its pace.
+    fn count_end(&mut self, now: Duration, pending: &PendingAttempt) {
+        if pending.info.suspect || pending.end_counted {
+            return;
+        }
+        let (started_at, end) = match pending.phase {
+            Phase::Running { since } => (since, pending.end),
+            Phase::Claiming => (now, End::Withdrawn),
+            // The attempt holds no slot.
+            Phase::Queued | Phase::Receiving { .. } => return,
+        };
+        let call = CallEnd { started_at, expected: pending.info.expected, end };
+        self.scheduler.on_call_ended(now, pending.info.class, &pending.info.route, &call);
+    }
 }
 
 /// Returns the request for a slot that an attempt makes at `now`.
@@ -525,6 +584,7 @@
         useful_until: info.useful_until,
         may_spill: info.may_spill,
         suspect: info.suspect,
+        expected: info.expected,
         arrived: now,
         deadline: info.deadline,
     }
--- a/crates/medlarpoint_routing/src/intake/tests.rs
+++ b/crates/medlarpoint_routing/src/intake/tests.rs
@@ -14,8 +14,8 @@
 const KEY: IdempotencyKey = IdempotencyKey(5);
 
 fn intake() -> Intake<&'static str> {
-    let policy = Policy { ramp_ms: 0, queue_per_slot: 2, ..Policy::default() };
-    let mut intake = Intake::new(vm("me"), BOOT, policy, Duration::ZERO);
+    let policy = Policy { queue_per_slot: 2, ..Policy::default() };
+    let mut intake = Intake::new(vm("me"), BOOT, policy);
     intake.scheduler_mut().set_slots(1, NOW);
     intake
 }
@@ -37,6 +37,7 @@
         useful_until: None,
         may_spill: false,
         suspect: false,
+        expected: None,
         deadline: NOW + Duration::from_secs(4),
         key,
         idempotency: Idempotency::Store,
--- a/crates/medlarpoint_routing/src/lib.rs
+++ b/crates/medlarpoint_routing/src/lib.rs
@@ -21,6 +21,7 @@
 mod latency;
 mod link;
 mod outcome;
+mod pace;
 mod picker;
 mod priority;
 mod request_link;
@@ -46,6 +47,7 @@
 pub use latency::Latency;
 pub use link::{LARGE_MESSAGE_BYTES, Link};
 pub use outcome::{FailurePoint, Outcome, Retry};
+pub use pace::Changes as PaceChanges;
 pub use picker::{
     CallInfo, Destination, Endpoint, Locality, NetworkCosts, Picker, ResponseInfo, Strategy,
 };
--- a/crates/medlarpoint_routing/src/priority/tests.rs
+++ b/crates/medlarpoint_routing/src/priority/tests.rs
@@ -19,6 +19,7 @@
         useful_until: None,
         may_spill: false,
         suspect: false,
+        expected: None,
         arrived: Duration::ZERO,
         deadline: Duration::from_secs(1),
     }
--- a/crates/medlarpoint_routing/src/scheduler.rs
+++ b/crates/medlarpoint_routing/src/scheduler.rs
@@ -11,6 +11,7 @@
 use crate::AttemptId;
 use crate::forecast::{Forecast, MAX_LATE_WAIT, Position};
 use crate::link::Link;
+use crate::pace::Pace;
 use crate::priority::{Priority, Queue};
 use crate::request_link::RequestLink;
 use crate::service_times::ServiceTimes;
@@ -46,6 +47,8 @@
     /// Whether the call may crash the target. One such call runs at a time, so that a crash
     /// tells which of them it was.
     pub suspect: bool,
+    /// Time that the route usually takes at the targets of the service, if the sender knows.
+    pub expected: Option<Duration>,
     /// Time of arrival, on the local clock.
     pub arrived: Duration,
     /// Time by which the response must be sent, on the local clock.
@@ -133,8 +136,9 @@
 pub struct Scheduler {
     slots: u32,
     policy: Policy,
-    /// Time at which the target appeared and its slots started to ramp up.
-    ramp_start: Duration,
+    /// Limit on the calls in flight that follows from the target's answers; `None` if all
+    /// slots are usable at once.
+    pace: Option<Pace>,
     short: ClassState,
     long: ClassState,
     /// Link in the direction of the responses.
@@ -148,16 +152,15 @@
 }
 
 impl Scheduler {
-    /// Creates the scheduler of a target that appeared at `now`; with zero slots
-    /// every call is rejected.
-    pub fn new(slots: u32, policy: Policy, now: Duration) -> Self {
+    /// Creates a scheduler; with zero slots every call is rejected.
+    pub fn new(slots: u32, policy: Policy) -> Self {
         let (short, long) = (ClassState::default(), ClassState::default());
         let (link, request_link) = (Link::default(), RequestLink::default());
         let target_limit = TargetLimit::default();
         Self {
             slots,
             policy,
-            ramp_start: now,
+            pace: None,
             short,
             long,
             link,
@@ -197,12 +200,13 @@
         &self.policy
     }
 
-    /// Changes the number of slots; a change from zero restarts the ramp-up.
+    /// Changes the number of slots; a change from zero restarts the target's pace.
     pub fn set_slots(&mut self, slots: u32, now: Duration) {
-        if self.slots == 0 && slots > 0 {
-            self.ramp_start = now;
-        }
+        let appeared = self.slots == 0 && slots > 0;
         self.slots = slots;
+        if let Some(pace) = self.pace.as_mut().filter(|_| appeared) {
+            pace.on_slots(now, slots);
+        }
     }
 
     /// Records that another process has become the target. Its limit is not known.
@@ -226,7 +230,8 @@
     /// Requests a slot. Also returns the decision on a call that was displaced
     /// from the queue.
     pub fn arrive(&mut self, now: Duration, ticket: Ticket) -> (Admission, Option<Decision>) {
-        let usable = self.usable_slots(now);
+        self.tick_pace(now);
+        let usable = self.usable_slots();
         if usable == 0 {
             return (Admission::Rejected(Rejection::NoTarget, MIN_RETRY_AFTER), None);
         }
@@ -337,8 +342,9 @@
     }
 
     /// Rejects queued calls that can no longer be served and fills slots that
-    /// have become usable during the ramp-up.
+    /// have become usable.
     pub fn sweep(&mut self, now: Duration) -> Vec<Decision> {
+        self.tick_pace(now);
         let mut decisions = Vec::new();
         for class in [Class::Short, Class::Long] {
             let forecast = self.forecast(now, class);
@@ -362,7 +368,7 @@
         Load {
             running: self.short.running + self.long.running,
             queued: (self.short.queue.len() + self.long.queue.len()) as u32,
-            slots: self.sustained_slots(now),
+            slots: self.sustained_slots(),
             pace_percent: 0,
             link_ms: self.link_backlog(now).as_millis() as u32,
             receive_ms: self.request_link.next_start(now).saturating_sub(now).as_millis() as u32,
@@ -370,8 +376,8 @@
     }
 
     /// Returns the number of slots that are in use at the limit that the target names.
-    fn sustained_slots(&self, now: Duration) -> u32 {
-        let usable = self.usable_slots(now);
+    fn sustained_slots(&self) -> u32 {
+        let usable = self.usable_slots();
         let sustained = self.target_limit.sustained_calls(self.short.service_times.mean());
         sustained.map_or(usable, |sustained| usable.min(sustained))
     }
@@ -388,7 +394,7 @@
 
     fn fill_slots(&mut self, now: Duration) -> Vec<Decision> {
         let mut decisions = Vec::new();
-        let usable = self.usable_slots(now);
+        let usable = self.usable_slots();
         while let Some(class) = self.next_class(now, usable) {
             let (state, link) = match class {
                 Class::Short => (&mut self.short, &self.link),
@@ -419,7 +425,7 @@
     }
 
     fn reject_late(&mut self, now: Duration, class: Class, attempt: AttemptId) -> Option<Decision> {
-        let usable = self.usable_slots(now);
+        let usable = self.usable_slots();
         let ticket = self.class_state_mut(class).queue.remove(attempt)?;
         let retry_after = self.retry_after(now, usable, &ticket);
         Some(Decision::Rejected(attempt, Rejection::TooLate, retry_after))
@@ -430,6 +436,9 @@
         self.link.call_started(&ticket.route);
         self.class_state_mut(ticket.class).running += 1;
         self.suspect_running |= ticket.suspect;
+        if let Some(pace) = self.pace.as_mut().filter(|_| !ticket.suspect) {
+            pace.on_started(ticket.expected);
+        }
     }
 
     /// Returns whether a call has to wait although a slot may be free.
@@ -479,21 +488,9 @@
 
     /// Returns the number of usable slots, which is small until the first response of the
     /// target.
-    fn usable_slots(&self, now: Duration) -> u32 {
-        let ramped = self.ramped_slots(now);
-        self.target_limit.max_in_flight().map_or(ramped, |max| ramped.min(max))
-    }
-
-    /// Returns the number of slots, which grows in proportion to the time since the target
-    /// appeared until the end of the ramp-up.
-    fn ramped_slots(&self, now: Duration) -> u32 {
-        let ramp = Duration::from_millis(self.policy.ramp_ms);
-        let elapsed = now.saturating_sub(self.ramp_start);
-        if self.slots == 0 || elapsed >= ramp {
-            return self.slots;
-        }
-        let share = elapsed.as_secs_f64() / ramp.as_secs_f64();
-        ((f64::from(self.slots) * share) as u32).clamp(1, self.slots)
+    fn usable_slots(&self) -> u32 {
+        let paced = self.paced_slots();
+        self.target_limit.max_in_flight().map_or(paced, |max| paced.min(max))
     }
 
     /// Returns the priority and the queue position of a call that arrives now.
@@ -579,5 +576,6 @@
     }
 }
 
+mod pacing;
 #[cfg(test)]
 mod tests;
--- a/crates/medlarpoint_routing/src/service_times.rs
+++ b/crates/medlarpoint_routing/src/service_times.rs
@@ -39,6 +39,11 @@
         Duration::from_secs_f64(self.mean_s)
     }
 
+    /// Returns the average of a route, or `None` before its first sample.
+    pub(crate) fn observed(&self, route: &Name) -> Option<Duration> {
+        self.by_route.get(route).copied().map(Duration::from_secs_f64)
+    }
+
     /// Returns the expected service time of a route: its own average or, before
     /// its first sample, the average over all calls.
     pub(crate) fn expected(&self, route: &Name) -> Duration {
