Load tests of the pace, and what they showed

Cause: tests of the pace with pickers and intakes showed calls that queue at a new target (its forecast knew no service time), cuts that came only with the first slow answers, targets that swung around their limit, unused targets that were opened and then overloaded by a burst, a service that opened late if all of its targets start at once, and a warm target that kept all slots while few calls were in flight.

Change: the forecast assumes the expected time before the first answer, and passes a late call on if it would be in time at a target that takes the expected time. The expected time is the median of the other targets that have responded for 3 s. Calls in flight that are overdue count. Above the limit after the last cut, the limit rises by an eighth of the slots; a target that is hardly used opens one slot at a time; four answers suffice for a cut. The clock runs until an answer can be compared.

Tested: cargo test of medlarpoint_routing and of the library of medlarpoint_daemon, clippy of model, routing, daemon and bench.

--- a/crates/medlarpoint_daemon/src/inbound.rs
+++ b/crates/medlarpoint_daemon/src/inbound.rs
@@ -286,7 +286,7 @@
         useful_until: useful_until(headers, now),
         may_spill: headers.contains_key(&header::SPILL),
         suspect: is_suspect(shared, headers),
-        expected: header::millis(headers, &header::EXPECTED_MS),
+        expected: expected_time(shared, headers),
         deadline: now + time_left,
         key,
         idempotency,
@@ -302,6 +302,12 @@
     told.max(known).is_some_and(Suspicion::is_suspect)
 }
 
+/// Returns the time that the route usually takes, if it is used here.
+fn expected_time(shared: &Shared, headers: &HeaderMap) -> Option<Duration> {
+    let is_used = shared.settings.options.routing.target_pace;
+    header::millis(headers, &header::EXPECTED_MS).filter(|_| is_used)
+}
+
 /// Returns the time until which the response is of full use to the caller.
 fn useful_until(headers: &HeaderMap, now: Duration) -> Option<Duration> {
     Some(now + header::millis(headers, &header::USEFUL_MS)?)
--- a/crates/medlarpoint_daemon/src/outbound_call/attempt_request.rs
+++ b/crates/medlarpoint_daemon/src/outbound_call/attempt_request.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Uri};
+use medlarpoint_model::Vm;
 use medlarpoint_routing::{AttemptId, Destination};
 
 use super::OutboundCall;
@@ -55,7 +56,7 @@
         if let Some(process) = leaving {
             header::set(headers, header::LEAVING, &process);
         }
-        if let Some(expected) = self.expected_time() {
+        if let Some(expected) = self.expected_time(now, &destination.vm) {
             header::set(headers, header::EXPECTED_MS, &expected.as_millis().to_string());
         }
         if may_spill {
@@ -64,13 +65,13 @@
         request
     }
 
-    /// Returns the median service time of the route over the targets, if inbound proxies use
+    /// Returns the time that the route usually takes at other targets, if inbound proxies use
     /// it.
-    fn expected_time(&self) -> Option<Duration> {
+    fn expected_time(&self, now: Duration, vm: &Vm) -> Option<Duration> {
         if !self.shared.settings.options.routing.target_pace {
             return None;
         }
-        lock(&self.service.picker).median_service_time(&self.resolved.route.name)
+        lock(&self.service.picker).expected_time(now, &self.resolved.route.name, vm)
     }
 
     /// Names the call, and what is known of crashes under it.
--- a/crates/medlarpoint_routing/src/candidate.rs
+++ b/crates/medlarpoint_routing/src/candidate.rs
@@ -14,6 +14,9 @@
 const SLOWDOWN_DECAY: Duration = Duration::from_millis(300);
 /// Time after which an old service time has lost most of its weight.
 const SERVICE_DECAY: Duration = Duration::from_secs(4);
+/// Time after its first response from which a target's service times are those of a warm
+/// one: most cold starts are over by then.
+const WARM_TIME: Duration = Duration::from_secs(3);
 /// Consecutive connection failures after which a target is ejected.
 const EJECT_FAILURES: u32 = 2;
 /// Duration of the first ejection; it doubles with each further one.
@@ -60,6 +63,7 @@
     /// Calls of other proxies at the target, by its last load report.
     other_calls: f64,
     service_times: IndexMap<Name, Latency>,
+    first_response_at: Option<Duration>,
     last_response_at: Duration,
     connect_failures: u32,
     ejections: u32,
@@ -83,6 +87,7 @@
             load_at: Duration::ZERO,
             other_calls: 0.0,
             service_times: IndexMap::new(),
+            first_response_at: None,
             last_response_at: Duration::ZERO,
             connect_failures: 0,
             ejections: 0,
@@ -120,6 +125,7 @@
         self.breaker.on_outcome(now, sent.generation, !slow);
         self.update_service_time(now, &sent.route, service_time);
         self.update_failure_rate(now, response.failed);
+        self.first_response_at.get_or_insert(now);
         self.last_response_at = now;
         if !slow {
             self.abandoned_in_row = 0;
@@ -195,6 +201,11 @@
         self.service_times.get(route).and_then(Latency::value)
     }
 
+    /// Returns whether the target has responded for long enough to be warm.
+    pub(crate) fn is_warm(&self, now: Duration) -> bool {
+        self.first_response_at.is_some_and(|first| now.saturating_sub(first) >= WARM_TIME)
+    }
+
     /// Returns the expected time until a response, plus the costs of the network and
     /// of a possible failure. `median` is the median service time over the targets
     /// of the service.
--- a/crates/medlarpoint_routing/src/forecast.rs
+++ b/crates/medlarpoint_routing/src/forecast.rs
@@ -38,10 +38,12 @@
         ticket.useful_until.is_none_or(|until| responded_at <= until)
     }
 
-    /// Returns whether the response of an idle target with the same service
-    /// times would come while it is of full use to the caller.
+    /// Returns whether the response of an idle target would come while it is of full use
+    /// to the caller. Without an expected time from the sender, the service times of such a
+    /// target are assumed to be the same.
     pub(crate) fn is_in_time_on_idle_target(&self, ticket: &Ticket) -> bool {
-        let needed = self.service_times.expected(&ticket.route).mul_f64(MARGIN);
+        let own = || self.service_times.expected(&ticket.route);
+        let needed = ticket.expected.unwrap_or_else(own).mul_f64(MARGIN);
         let responded_at = self.now + needed + self.link.expected_transfer(&ticket.route);
         ticket.useful_until.is_none_or(|until| responded_at <= until)
     }
--- a/crates/medlarpoint_routing/src/forecast/tests.rs
+++ b/crates/medlarpoint_routing/src/forecast/tests.rs
@@ -68,6 +68,18 @@
     });
 }
 
+/// Guards against a slow target that keeps calls which its peers could serve in time,
+/// because it takes its own service times for theirs.
+#[test]
+fn an_idle_target_is_as_quick_as_the_sender_says() {
+    with_forecast(|forecast| {
+        let late = ticket("lookup", 299);
+        assert!(!forecast.is_in_time_on_idle_target(&late));
+        let expected = Some(Duration::from_millis(100));
+        assert!(forecast.is_in_time_on_idle_target(&Ticket { expected, ..late }));
+    });
+}
+
 #[test]
 fn the_link_of_an_idle_target_counts_as_free() {
     with_forecast(|forecast| {
--- a/crates/medlarpoint_routing/src/intake.rs
+++ b/crates/medlarpoint_routing/src/intake.rs
@@ -566,8 +566,9 @@
             // The attempt holds no slot.
             Phase::Queued | Phase::Receiving { .. } => return,
         };
-        let call = CallEnd { started_at, expected: pending.info.expected, end };
-        self.scheduler.on_call_ended(now, pending.info.class, &pending.info.route, &call);
+        let PendingAttempt { info, .. } = pending;
+        let call = CallEnd { attempt: info.attempt, started_at, expected: info.expected, end };
+        self.scheduler.on_call_ended(now, info.class, &info.route, &call);
     }
 }
 
--- a/crates/medlarpoint_routing/src/intake/tests.rs
+++ b/crates/medlarpoint_routing/src/intake/tests.rs
@@ -171,6 +171,91 @@
     assert_eq!(intake.load(NOW).queued, 0);
 }
 
+/// An intake with a pace, whose target has started with a quarter of 16 slots.
+fn paced_intake() -> Intake<&'static str> {
+    let mut intake = intake();
+    intake.scheduler_mut().set_slots(0, NOW);
+    intake.scheduler_mut().set_target_pace(NOW, true);
+    intake.scheduler_mut().set_slots(16, NOW);
+    assert_eq!(intake.load(NOW).slots, 4);
+    intake
+}
+
+/// Runs four calls that each take `took`, with an expected time of 100 ms.
+fn run_four(intake: &mut Intake<&'static str>, took: Duration, suspect: bool) {
+    let expected = Some(Duration::from_millis(100));
+    for attempt in 1..=4 {
+        intake.arrive(NOW, AttemptInfo { suspect, expected, ..info(attempt, None) });
+        if suspect {
+            intake.completed(NOW + took, AttemptId(attempt), Completion::Responded(None));
+        }
+    }
+    for attempt in 1..=4 {
+        intake.completed(NOW + took, AttemptId(attempt), Completion::Responded(None));
+    }
+}
+
+#[test]
+fn the_usable_slots_follow_from_the_answers() {
+    for (took_ms, usable) in [(100, 8), (200, 5), (400, 2)] {
+        let mut intake = paced_intake();
+        let took = Duration::from_millis(took_ms);
+        run_four(&mut intake, took, false);
+        assert_eq!(intake.load(NOW + took).slots, usable, "{took_ms} ms");
+    }
+}
+
+/// Guards against a call that may crash the target, and so ends late or not at all, and
+/// takes the slots from other calls.
+#[test]
+fn suspects_do_not_change_the_usable_slots() {
+    let mut intake = paced_intake();
+    run_four(&mut intake, Duration::from_secs(2), true);
+    assert_eq!(intake.load(NOW).slots, 4);
+}
+
+/// Guards against cuts by rejections that say nothing about the pace: of a target that
+/// shuts down, and of one beyond the calls per second that it names.
+#[test]
+fn rejections_cut_the_usable_slots_unless_the_target_drains_or_names_a_limit() {
+    let reject = |prepare: fn(&mut Intake<&'static str>)| {
+        let mut intake = paced_intake();
+        intake.arrive(NOW, info(1, None));
+        prepare(&mut intake);
+        let actions = intake.completed(NOW, AttemptId(1), Completion::Rejected);
+        assert_eq!(point(&actions), Some(FailurePoint::TargetConnect));
+        intake.set_draining(false);
+        intake.scheduler_mut().on_target_response(NOW, None);
+        intake.load(NOW).slots
+    };
+    assert_eq!(reject(|_| {}), 2);
+    assert_eq!(reject(|intake| intake.set_draining(true)), 4);
+    let name_limit = |intake: &mut Intake<&'static str>| {
+        intake.scheduler_mut().on_target_response(NOW, Some(500.0));
+    };
+    assert_eq!(reject(name_limit), 4);
+}
+
+/// Guards against a slow caller that makes the target of its large response seem slow.
+#[test]
+fn the_time_for_which_a_response_is_sent_does_not_count() {
+    let mut intake = paced_intake();
+    let expected = Some(Duration::from_millis(100));
+    let answered_at = NOW + Duration::from_millis(100);
+    for attempt in 1..=4 {
+        intake.arrive(NOW, AttemptInfo { expected, ..info(attempt, None) });
+    }
+    for attempt in 1..=4 {
+        intake.answered(answered_at, AttemptId(attempt));
+    }
+    assert_eq!(intake.load(answered_at).slots, 8);
+    let sent_at = NOW + Duration::from_secs(60);
+    for attempt in 1..=4 {
+        intake.completed(sent_at, AttemptId(attempt), Completion::Responded(None));
+    }
+    assert_eq!((intake.load(sent_at).slots, intake.unfinished()), (8, 0));
+}
+
 /// An intake on a narrow link, and the properties of a call with a large body.
 fn narrow_intake() -> Intake<&'static str> {
     let mut intake = intake();
--- a/crates/medlarpoint_routing/src/pace/tests.rs
+++ b/crates/medlarpoint_routing/src/pace/tests.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::{CallEnd, End, Pace, STALE_STEP};
+use crate::AttemptId;
 
 const SLOTS: u32 = 16;
 const START: Duration = Duration::from_secs(100);
@@ -13,17 +14,18 @@
 }
 
 fn end(started_at: Duration, end: End) -> CallEnd {
-    CallEnd { started_at, expected: Some(EXPECTED), end }
+    CallEnd { attempt: AttemptId(0), started_at, expected: Some(EXPECTED), end }
 }
 
 /// Runs as many calls as are usable, each of which takes `took`. Returns the time of their
 /// ends.
 fn round(pace: &mut Pace, now: Duration, took: Duration) -> Duration {
-    let calls = pace.usable(SLOTS);
-    (0..calls).for_each(|_| pace.on_started(Some(EXPECTED)));
+    let calls = (0..pace.usable(SLOTS)).map(|id| AttemptId(id.into()));
     let done = now + took;
-    for _ in 0..calls {
-        pace.on_ended(done, SLOTS, &end(now, End::Answered), None);
+    calls.clone().for_each(|attempt| pace.on_started(now, attempt, Some(EXPECTED)));
+    for attempt in calls {
+        let call = CallEnd { attempt, ..end(now, End::Answered) };
+        pace.on_ended(done, SLOTS, &call, None);
     }
     done
 }
@@ -61,7 +63,7 @@
     }
     assert_eq!(steps, [2, 1, 1, 1]);
     assert_eq!(pace.take_changes().cuts, 2);
-    for _ in 0..5 {
+    for _ in 0..8 {
         now = round(&mut pace, now, EXPECTED);
     }
     assert_eq!(pace.usable(SLOTS), SLOTS);
@@ -121,10 +123,15 @@
 #[test]
 fn without_expected_times_slots_open_by_the_clock() {
     let mut pace = Pace::new(START, SLOTS);
-    let unknown = |started_at| CallEnd { started_at, expected: None, end: End::Answered };
+    let unknown = |started_at| CallEnd {
+        attempt: AttemptId(0),
+        started_at,
+        expected: None,
+        end: End::Answered,
+    };
     for (after, usable) in [(240, 4), (260, 8), (400, 8), (520, 16)] {
         let now = START + ms(after);
-        pace.on_started(None);
+        pace.on_started(START, AttemptId(0), None);
         pace.on_ended(now, SLOTS, &unknown(now.saturating_sub(ms(90))), None);
         pace.tick(now, SLOTS);
         assert_eq!(pace.usable(SLOTS), usable, "after {after} ms");
@@ -135,18 +142,47 @@
 #[test]
 fn the_clock_waits_for_calls_with_an_expected_time() {
     let mut pace = Pace::new(START, SLOTS);
-    pace.on_started(Some(EXPECTED));
+    pace.on_started(START, AttemptId(0), Some(EXPECTED));
     pace.tick(START + ms(700), SLOTS);
     assert_eq!(pace.usable(SLOTS), 4);
     pace.on_ended(START + ms(800), SLOTS, &end(START, End::Withdrawn), None);
     pace.tick(START + ms(801), SLOTS);
     assert_eq!(pace.usable(SLOTS), 8);
     // Answers to calls of several seconds come too late to decide on a cold start.
-    pace.on_started(Some(Duration::from_secs(4)));
+    pace.on_started(START, AttemptId(0), Some(Duration::from_secs(4)));
     pace.tick(START + ms(1_100), SLOTS);
     assert_eq!(pace.usable(SLOTS), 16);
 }
 
+/// Guards against a target that is cut only when its first slow answers arrive.
+#[test]
+fn calls_in_flight_that_are_overdue_cut_the_limit_before_their_answers() {
+    let mut pace = Pace::new(START, SLOTS);
+    for id in 0..4 {
+        pace.on_started(START, AttemptId(id), Some(EXPECTED));
+    }
+    pace.tick(START + ms(249), SLOTS);
+    assert_eq!(pace.usable(SLOTS), 4);
+    pace.tick(START + ms(251), SLOTS);
+    pace.tick(START + ms(900), SLOTS);
+    assert_eq!((pace.usable(SLOTS), pace.take_changes().cuts), (2, 1));
+}
+
+/// Guards against an unused target that is opened by single calls and then overloaded by a
+/// burst.
+#[test]
+fn answers_of_a_target_that_is_hardly_used_open_one_slot_at_a_time() {
+    let mut pace = Pace::new(START, SLOTS);
+    let mut now = START;
+    for id in 0..4 {
+        pace.on_started(now, AttemptId(id), Some(EXPECTED));
+        let call = CallEnd { attempt: AttemptId(id), ..end(now, End::Answered) };
+        now += EXPECTED;
+        pace.on_ended(now, SLOTS, &call, None);
+    }
+    assert_eq!(pace.usable(SLOTS), 5);
+}
+
 /// Guards against a pause between calls that opens a cold target, and against a target
 /// that stays cut for ever once calls have no expected time.
 #[test]
@@ -164,7 +200,12 @@
 fn without_expected_times_the_own_answers_of_the_target_show_overload() {
     let mut pace = Pace::new(START, SLOTS);
     for _ in 0..4 {
-        let call = CallEnd { started_at: START, expected: None, end: End::Answered };
+        let call = CallEnd {
+            attempt: AttemptId(0),
+            started_at: START,
+            expected: None,
+            end: End::Answered,
+        };
         pace.on_ended(START + EXPECTED * 4, SLOTS, &call, Some(EXPECTED));
     }
     assert_eq!(pace.usable(SLOTS), 2);
--- a/crates/medlarpoint_routing/src/picker.rs
+++ b/crates/medlarpoint_routing/src/picker.rs
@@ -226,6 +226,14 @@
         median_service_time(&all, route)
     }
 
+    /// Returns the time that a route usually takes elsewhere than at the target on `vm`: the
+    /// median over the other targets that are warm, or `None` if there is none.
+    pub fn expected_time(&self, now: Duration, route: &Name, vm: &Vm) -> Option<Duration> {
+        let is_peer = |c: &&Candidate| c.endpoint.destination.vm != *vm && c.is_warm(now);
+        let peers: Vec<&Candidate> = self.targets.values().filter(is_peer).collect();
+        median_service_time(&peers, route)
+    }
+
     /// Selects a target by rendezvous hashing of a key. Proxies with the same view of
     /// the targets select the same one; targets in another region come last.
     pub fn pick_keyed(&self, key: IdempotencyKey, exclude: &[Vm]) -> Option<Destination> {
--- a/crates/medlarpoint_routing/src/picker/tests.rs
+++ b/crates/medlarpoint_routing/src/picker/tests.rs
@@ -205,3 +205,20 @@
     assert_eq!(distribute(&mut picker, &names, 4, 60_000), [0, 4]);
     assert!(distribute(&mut picker, &names, 10, 300)[0] > 0);
 }
+
+/// Guards against a target that is compared with itself, or with others that are as cold.
+#[test]
+fn the_expected_time_is_the_median_of_the_other_warm_targets() {
+    let names = ["a", "b", "c"];
+    let mut picker = picker(&names.map(|name| (name, Locality::Near)));
+    for (name, service_ms) in [("a", 100), ("b", 300), ("c", 200)] {
+        let service_time = Some(ms(service_ms));
+        respond(&mut picker, name, ResponseInfo { service_time, ..ResponseInfo::default() });
+    }
+    assert_eq!(picker.expected_time(NOW, &route(), &vm("a")), None);
+    let later = NOW + ms(3_000);
+    let expected = names.map(|name| picker.expected_time(later, &route(), &vm(name)));
+    assert!(expected[0] > expected[1], "{expected:?}");
+    assert_eq!(expected[1], expected[2]);
+    assert_eq!(picker.expected_time(later, &"other".parse().unwrap(), &vm("a")), None);
+}
--- a/crates/medlarpoint_routing/src/scheduler.rs
+++ b/crates/medlarpoint_routing/src/scheduler.rs
@@ -231,6 +231,7 @@
     /// from the queue.
     pub fn arrive(&mut self, now: Duration, ticket: Ticket) -> (Admission, Option<Decision>) {
         self.tick_pace(now);
+        self.assume_service_time(&ticket);
         let usable = self.usable_slots();
         if usable == 0 {
             return (Admission::Rejected(Rejection::NoTarget, MIN_RETRY_AFTER), None);
@@ -437,7 +438,7 @@
         self.class_state_mut(ticket.class).running += 1;
         self.suspect_running |= ticket.suspect;
         if let Some(pace) = self.pace.as_mut().filter(|_| !ticket.suspect) {
-            pace.on_started(ticket.expected);
+            pace.on_started(now, ticket.attempt, ticket.expected);
         }
     }
 
--- a/crates/medlarpoint_routing/src/scheduler/pacing.rs
+++ b/crates/medlarpoint_routing/src/scheduler/pacing.rs
@@ -4,7 +4,7 @@
 
 use medlarpoint_model::{Class, Name};
 
-use super::Scheduler;
+use super::{Scheduler, Ticket};
 use crate::pace::{CallEnd, Changes, Pace};
 
 impl Scheduler {
@@ -43,6 +43,14 @@
         }
     }
 
+    /// Assumes the expected service time of a call for the forecasts before the first answer
+    /// on its route. A new target would otherwise seem to need no time.
+    pub(super) fn assume_service_time(&mut self, ticket: &Ticket) {
+        if let Some(expected) = ticket.expected.filter(|_| self.pace.is_some()) {
+            self.class_state_mut(ticket.class).service_times.assume(&ticket.route, expected);
+        }
+    }
+
     /// Opens the next step of the pace if it is due.
     pub(super) fn tick_pace(&mut self, now: Duration) {
         let slots = self.slots;
--- a/crates/medlarpoint_routing/src/service_times.rs
+++ b/crates/medlarpoint_routing/src/service_times.rs
@@ -17,6 +17,8 @@
     mean_s: f64,
     /// Averages by route, in seconds.
     by_route: IndexMap<Name, f64>,
+    /// Times of the routes elsewhere, in seconds, until the first sample of the route.
+    assumed: IndexMap<Name, f64>,
 }
 
 impl ServiceTimes {
@@ -34,8 +36,20 @@
         self.by_route.insert(route.clone(), sample);
     }
 
+    /// Sets the service time that is assumed for a route until its first sample.
+    pub(crate) fn assume(&mut self, route: &Name, expected: Duration) {
+        let is_known = self.by_route.contains_key(route) || self.assumed.contains_key(route);
+        if !is_known && self.assumed.len() < MAX_ROUTES {
+            self.assumed.insert(route.clone(), expected.as_secs_f64());
+        }
+    }
+
     /// Returns the average over all calls, whatever their route.
     pub(crate) fn mean(&self) -> Duration {
+        if self.mean_s == 0.0 && !self.assumed.is_empty() {
+            let sum: f64 = self.assumed.values().sum();
+            return Duration::from_secs_f64(sum / self.assumed.len() as f64);
+        }
         Duration::from_secs_f64(self.mean_s)
     }
 
@@ -45,9 +59,9 @@
     }
 
     /// Returns the expected service time of a route: its own average or, before
-    /// its first sample, the average over all calls.
+    /// its first sample, the time assumed for it or the average over all calls.
     pub(crate) fn expected(&self, route: &Name) -> Duration {
-        let average = self.by_route.get(route).copied();
+        let average = self.by_route.get(route).or_else(|| self.assumed.get(route)).copied();
         Duration::from_secs_f64(average.unwrap_or(self.mean_s))
     }
 }
