--- a/crates/medlarpoint_daemon/src/handover.rs
+++ b/crates/medlarpoint_daemon/src/handover.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use hyper::body::Incoming;
 use medlarpoint_model::{Fingerprint, Name};
 use medlarpoint_platform::call::{self, ResponseClass};
 use medlarpoint_routing::{AttemptInfo, Completion, FailurePoint, Outcome, Reply};
@@ -31,10 +32,10 @@
     in_flight: InFlightAttempt,
 ) -> Response<Body> {
     let Some(target) = lock(&shared.target).clone() else {
-        return reject(&shared, in_flight, FailurePoint::TargetConnect);
+        return reject(&shared, in_flight, Completion::NotRun, FailurePoint::TargetConnect);
     };
     if !matches_service(&parts.headers, &target.service) {
-        return reject(&shared, in_flight, FailurePoint::TargetConnect);
+        return reject(&shared, in_flight, Completion::NotRun, FailurePoint::TargetConnect);
     }
     let fingerprint = call_identity::of_attempt(&parts, &body);
     learn_suspicion(&shared, &parts.headers, fingerprint);
@@ -72,7 +73,7 @@
                 target_end::on_refused(&shared, &target);
             }
             record_connection(&shared, false);
-            return reject(&shared, in_flight, FailurePoint::TargetConnect);
+            return reject(&shared, in_flight, Completion::NotRun, FailurePoint::TargetConnect);
         }
         Ok(Err(ExchangeError::Lost(_))) => {
             let ended = handed_over.has_target_ended(&target).await;
@@ -96,10 +97,11 @@
         ResponseClass::Ran => handed_over.answer(),
         ResponseClass::NotRun | ResponseClass::OtherInstance => {
             handed_over.withdraw();
-            if buffer(incoming, MAX_BUFFERED_BYTES).await.is_ok() {
-                connection.release();
-            }
-            return reject(&shared, in_flight, FailurePoint::TargetShed);
+            discard(incoming, connection).await;
+            let is_same_process = class == ResponseClass::NotRun;
+            let completion =
+                if is_same_process { Completion::Rejected } else { Completion::NotRun };
+            return reject(&shared, in_flight, completion, FailurePoint::TargetShed);
         }
         ResponseClass::Unverified => {
             return lose(in_flight, FailurePoint::TargetGarbled);
@@ -129,6 +131,14 @@
     }
 }
 
+/// Reads the rest of a response that is not passed on, so that its connection can be used
+/// again.
+async fn discard(incoming: Incoming, connection: PooledConnection) {
+    if buffer(incoming, MAX_BUFFERED_BYTES).await.is_ok() {
+        connection.release();
+    }
+}
+
 /// Replaces the headers between proxies by those for the target. Returns the id of the call,
 /// if its caller has given it one.
 fn set_target_headers(
@@ -180,6 +190,8 @@
             body
         }
         Buffered::Partial(prefix, rest) => {
+            let now = shared.now();
+            lock(&shared.intake).answered(now, info.attempt);
             Body::with_prefix(prefix, rest, EndAction::Attempt(Box::new(in_flight), connection))
         }
     };
@@ -193,8 +205,13 @@
 
 /// Ends an attempt of which nothing was sent to the target, or that the target
 /// states it has not run.
-fn reject(shared: &Arc<Shared>, in_flight: InFlightAttempt, point: FailurePoint) -> Response<Body> {
-    in_flight.end(Completion::NotRun);
+fn reject(
+    shared: &Arc<Shared>,
+    in_flight: InFlightAttempt,
+    completion: Completion<SavedResponse>,
+    point: FailurePoint,
+) -> Response<Body> {
+    in_flight.end(completion);
     let retry_after = Duration::from_millis(100);
     let reply = Reply::NotRun { point, rejection: None, retry_after };
     respond(shared, reply)
@@ -266,6 +283,7 @@
         header::LEAVING,
         header::FINGERPRINT,
         header::SUSPICION,
+        header::EXPECTED_MS,
     ] {
         headers.remove(name);
     }
--- a/crates/medlarpoint_daemon/src/outbound_call/attempt_request.rs
+++ b/crates/medlarpoint_daemon/src/outbound_call/attempt_request.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Uri};
+use medlarpoint_model::Vm;
 use medlarpoint_routing::{AttemptId, Destination};
 
 use super::OutboundCall;
@@ -11,8 +12,14 @@
 use crate::{header, inbound};
 
 /// Headers that a caller may not set.
-const SET_BY_PROXIES: [HeaderName; 5] =
-    [header::SPILL, header::LEAVING, header::FINGERPRINT, header::SUSPICION, header::WORKSPACE];
+const SET_BY_PROXIES: [HeaderName; 6] = [
+    header::SPILL,
+    header::LEAVING,
+    header::FINGERPRINT,
+    header::SUSPICION,
+    header::WORKSPACE,
+    header::EXPECTED_MS,
+];
 
 impl OutboundCall {
     /// Builds the request of an attempt. `may_spill` permits a busy inbound proxy to reject it
@@ -29,10 +36,7 @@
         let path = self.parts.uri.path_and_query().cloned();
         *request.uri_mut() = path.map(Uri::from).unwrap_or_default();
         let headers = request.headers_mut();
-        *headers = self.parts.headers.clone();
-        for name in SET_BY_PROXIES {
-            headers.remove(name);
-        }
+        *headers = forwarded(&self.parts.headers);
         if !headers.contains_key(http::header::HOST)
             && let Some(authority) = self.parts.uri.authority()
         {
@@ -61,6 +65,9 @@
         if let Some(process) = leaving {
             header::set(headers, header::LEAVING, &process);
         }
+        if let Some(expected) = self.expected_time(now, &destination.vm) {
+            header::set(headers, header::EXPECTED_MS, &expected.as_millis().to_string());
+        }
         if may_spill {
             headers.insert(header::SPILL, HeaderValue::from_static("yes"));
         }
@@ -73,6 +80,15 @@
         priority.unwrap_or(self.resolved.route.priority)
     }
 
+    /// Returns the time that the route usually takes at other targets, if inbound proxies use
+    /// it.
+    fn expected_time(&self, now: Duration, vm: &Vm) -> Option<Duration> {
+        if !self.shared.settings.options.routing.target_pace {
+            return None;
+        }
+        lock(&self.service.picker).expected_time(now, &self.resolved.route.name, vm)
+    }
+
     /// Names the call, and what is known of crashes under it.
     fn set_fingerprint(&self, now: Duration, headers: &mut HeaderMap) {
         let Some(fingerprint) = self.fingerprint else {
@@ -85,3 +101,15 @@
         }
     }
 }
+
+/// Returns the caller's headers that are passed on.
+fn forwarded(headers: &HeaderMap) -> HeaderMap {
+    let mut headers = headers.clone();
+    for name in SET_BY_PROXIES {
+        headers.remove(name);
+    }
+    headers
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/medlarpoint_routing/src/fair_due/tests.rs
+++ b/crates/medlarpoint_routing/src/fair_due/tests.rs
@@ -16,6 +16,7 @@
         weight: 1,
         rank: 1,
         route: "k".parse().unwrap(),
+        expected: None,
         body_bytes: 0,
         useful_until: Some(Duration::MAX),
         may_spill: false,
--- a/crates/medlarpoint_routing/src/lib.rs
+++ b/crates/medlarpoint_routing/src/lib.rs
@@ -23,6 +23,7 @@
 mod latency;
 mod link;
 mod outcome;
+mod pace;
 mod picker;
 mod priority;
 pub mod quota;
@@ -51,6 +52,7 @@
 pub use latency::Latency;
 pub use link::{LARGE_MESSAGE_BYTES, Link};
 pub use outcome::{FailurePoint, Outcome, Retry};
+pub use pace::Changes as PaceChanges;
 pub use picker::{
     CallInfo, Destination, Endpoint, Locality, NetworkCosts, Picker, ResponseInfo, Strategy,
 };
--- a/crates/medlarpoint_routing/src/picker.rs
+++ b/crates/medlarpoint_routing/src/picker.rs
@@ -253,6 +253,14 @@
         median_service_time(&all, route)
     }
 
+    /// Returns the time that a route usually takes elsewhere than at the target on `vm`: the
+    /// median over the other targets that are warm, or `None` if there is none.
+    pub fn expected_time(&self, now: Duration, route: &Name, vm: &Vm) -> Option<Duration> {
+        let is_peer = |c: &&Candidate| c.endpoint.destination.vm != *vm && c.is_warm(now);
+        let peers: Vec<&Candidate> = self.targets.values().filter(is_peer).collect();
+        median_service_time(&peers, route)
+    }
+
     /// Returns the median service time of a route over a group of targets.
     pub fn median_service_time_of(&self, choice: Choice, route: &Name) -> Option<Duration> {
         let group = self.targets.values().filter(|c| choice.allows(c.group));
--- a/crates/medlarpoint_routing/tests/workspace_share.rs
+++ b/crates/medlarpoint_routing/tests/workspace_share.rs
@@ -78,7 +78,7 @@
 impl Run {
     fn new(load: Load, seed: u64) -> Self {
         let policy = Policy { ramp_ms: 0, ..Policy::default() };
-        let mut scheduler = Scheduler::new(SLOTS, policy, Duration::ZERO);
+        let mut scheduler = Scheduler::new(SLOTS, policy);
         scheduler.on_target_response(Duration::ZERO, None);
         Self {
             load,
@@ -131,6 +131,7 @@
             in_workspace: self.load.identified,
             weight: 1,
             rank: 1,
+            expected: None,
             route: route(),
             body_bytes: 0,
             useful_until: self.load.dated.then_some(now + TARGET_LATENCY),
