--- a/crates/medlarpoint_cli/src/output.rs
+++ b/crates/medlarpoint_cli/src/output.rs
@@ -9,7 +9,7 @@
     Activation, DataCentreState, DataCentreStatus, Explanation, History, HistoryEntry, Resources,
     RolloutStatus, Status,
 };
-use medlarpoint_model::{Resource, Version};
+use medlarpoint_model::{Resource, Version, Vm};
 use serde_json::Value;
 
 use crate::diff::{Difference, Relation};
@@ -123,6 +123,10 @@
     for rollout in &status.rollouts {
         let _ = writeln!(text, "{}", rollout_line(rollout, palette));
     }
+    if !status.allocators.is_empty() {
+        let allocators: Vec<&str> = status.allocators.iter().map(Vm::as_str).collect();
+        let _ = writeln!(text, "allocators of quotas: {}", allocators.join(", "));
+    }
     let _ = writeln!(text, "newest version: {}", status.newest);
     let width = status.data_centres.iter().map(|p| p.data_centre.as_str().len()).max();
     for data_centre in &status.data_centres {
--- a/crates/medlarpoint_daemon/src/control.rs
+++ b/crates/medlarpoint_daemon/src/control.rs
@@ -19,7 +19,7 @@
 use crate::event::Event;
 use crate::state::{Control, InForce, Shared, lock};
 use crate::traffic::Counts;
-use crate::{peer, roles, rollouts, services, suspects};
+use crate::{peer, quota, roles, rollouts, services, suspects};
 
 /// Interval between ticks of the control plane.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -340,6 +340,13 @@
                     let order = (service, *revision);
                     rollouts::receive_report(self, &control, &frame.from, order, &report);
                 }
+                Body::QuotaRequest { boot, seq, known, wants } => {
+                    let request = quota::request_of(*boot, *seq, *known, wants);
+                    quota::on_request(self, &control, &frame.from, from, &request);
+                }
+                Body::QuotaGrant { boot, seq, loans } => {
+                    quota::on_grant(&self.shared, &quota::grant_of(*boot, *seq, loans));
+                }
                 Body::Receipt { version } => control.reporter.on_ack(&frame.from, *version),
                 Body::Indirect { .. } => {}
             }
--- a/crates/medlarpoint_daemon/src/daemon.rs
+++ b/crates/medlarpoint_daemon/src/daemon.rs
@@ -28,7 +28,9 @@
 use crate::keep_alive::Connections;
 use crate::lifecycle::{Lifecycle, Shutdown};
 use crate::log::Log;
+use crate::pipeline::EarlyCalls;
 use crate::pool::Pool;
+use crate::quota::{self, Quotas};
 use crate::server::{self, Listener};
 use crate::settings::Settings;
 use crate::slowdown::Slowdown;
@@ -355,6 +357,7 @@
     Shared {
         store: Client::new(&settings.endpoints, settings.store_timeout),
         reloadable: ArcSwap::from_pointee(Reloadable::of(&settings)),
+        early_calls: EarlyCalls::new(),
         caller_connections: Connections::new(settings.options.limits.idle_connections),
         settings,
         clock,
@@ -370,6 +373,7 @@
         target: Mutex::new(None),
         suspects: Mutex::default(),
         suspects_changed: Notify::new(),
+        quotas: Quotas::new(boot),
         rollouts: Mutex::default(),
         target_run: Mutex::default(),
         target_check: tokio::sync::Mutex::default(),
@@ -416,6 +420,7 @@
     tokio::spawn(registry::run(Arc::clone(driver)));
     tokio::spawn(startup::catch_up(Arc::clone(driver)));
     tokio::spawn(suspects::run(Arc::clone(driver)));
+    tokio::spawn(quota::run(Arc::clone(driver)));
     tokio::spawn(rollouts::run(Arc::clone(driver)));
     tokio::spawn(rollouts::status_writer::run(Arc::clone(driver)));
     tokio::spawn(target::run_maintenance(Arc::clone(driver)));
--- a/crates/medlarpoint_daemon/src/lib.rs
+++ b/crates/medlarpoint_daemon/src/lib.rs
@@ -30,8 +30,10 @@
 mod outbound_response;
 mod partition;
 mod peer;
+mod pipeline;
 mod platform_endpoints;
 mod pool;
+mod quota;
 mod registry;
 mod reload;
 mod reports;
@@ -51,6 +53,7 @@
 mod target_response;
 mod target_selector;
 mod traffic;
+mod workspace;
 
 pub use api::{DocumentError, openapi};
 pub use body_limit::Exceeded as BodyLimitExceeded;
@@ -58,6 +61,7 @@
 pub use event::{CATALOGUE, Description as EventDescription, Event, Level};
 pub use log::{Format as LogFormat, Log, SetupError};
 pub use metrics::{InstallError, install as install_metrics};
+pub use pipeline::{CancelReason, OffReason};
 pub use settings::{
     ApiOptions, InvalidSettings, LimitOptions, ListenOptions, LogOptions, MembershipOptions,
     Options, RoutingOptions, Settings, Source, StoreOptions,
--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -6,20 +6,21 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
 use hyper::body::{Body as _, Incoming};
-use medlarpoint_model::{Class, Name};
+use medlarpoint_model::{Class, Name, Workspace};
 use medlarpoint_platform::call;
 use medlarpoint_routing::{
     Constraints, FailurePoint, IdempotencyKey, LARGE_MESSAGE_BYTES, Outcome, ResolvedRoute,
+    RouteTable,
 };
 
 use crate::body::{Body, Buffered, buffer};
 use crate::body_limit::Limiter;
 use crate::event::Event;
 use crate::held_body::{HeldBody, MAX_REPLAY_BYTES};
-use crate::outbound_call::{OutboundCall, Payload};
+use crate::outbound_call::{OutboundCall, Payload, Routed};
 use crate::outbound_response::{call_id, set_retry_after};
 use crate::state::{ServiceState, Shared, lock};
-use crate::{header, inbound};
+use crate::{header, inbound, quota, workspace};
 
 /// Retry delay suggested to a caller whose call is rejected with status 503: about
 /// the time that membership takes to learn of a new target.
@@ -38,9 +39,13 @@
 /// Reason why a call was rejected before any attempt was made. Nothing ran.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr, thiserror::Error)]
 #[strum(serialize_all = "kebab-case")]
-enum RoutingError {
+pub(crate) enum RoutingError {
     #[error("this daemon is starting and has no current configuration yet: retry later")]
     Starting,
+    #[error("the key of the call is unknown: check it with the operator")]
+    UnknownKey,
+    #[error("the call carries no key: send the one of your workspace")]
+    MissingKey,
     #[error("no route matches the call: list the routes with `medlarpoint get route`")]
     NoRoute,
     #[error("the chain of calls exceeds {MAX_DEPTH} proxies: check it for a loop")]
@@ -51,6 +56,8 @@
     BadBody,
     #[error("no target of the service is reachable: retry later")]
     NoService,
+    #[error("the deadline passed before the turn of the call: send it on another connection")]
+    Late,
     #[error("this daemon is shutting down: send the call to another daemon")]
     Stopping,
 }
@@ -58,7 +65,10 @@
 impl RoutingError {
     fn status(self) -> StatusCode {
         match self {
-            Self::Starting | Self::NoService | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Starting | Self::NoService | Self::Late | Self::Stopping => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::UnknownKey | Self::MissingKey => StatusCode::UNAUTHORIZED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::TooDeep => StatusCode::LOOP_DETECTED,
             Self::BodySize => StatusCode::PAYLOAD_TOO_LARGE,
@@ -67,33 +77,58 @@
     }
 }
 
-/// Serves a call: routes it, sends it to a target and returns the response.
-pub(crate) async fn serve(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
-    let _guard = shared.lifecycle.track_call();
-    let started = shared.now();
-    let tenant = inbound::tenant(request.headers());
-    let in_force = shared.in_force.load_full();
+/// Returns whether the route of a call declares it repeatable.
+pub(crate) fn is_repeatable<B>(shared: &Shared, request: &Request<B>) -> bool {
+    let in_force = shared.in_force.load();
+    find_route(&in_force.routes, request).is_some_and(|resolved| resolved.route.repeatable)
+}
+
+fn find_route<'a, B>(
+    routes: &'a RouteTable,
+    request: &Request<B>,
+) -> Option<&'a Arc<ResolvedRoute>> {
     let host = request.uri().host().map(str::to_owned).or_else(|| {
         let host = request.headers().get(http::header::HOST)?;
         host.to_str().ok().map(str::to_owned)
     });
-    let resolved = in_force.routes.find(
-        host.as_deref(),
-        request.method(),
-        request.uri().path(),
-        request.headers(),
-    );
+    routes.find(host.as_deref(), request.method(), request.uri().path(), request.headers())
+}
+
+/// Serves a call: routes it, sends it to a target and returns the response.
+///
+/// A call that was started before its turn has no hyper body. `read_at` is the time at which
+/// a call was read that waited for its turn, on the local clock; its deadline counts from
+/// then.
+pub(crate) async fn serve(
+    shared: Arc<Shared>,
+    mut request: Request<Option<Incoming>>,
+    read_at: Option<Duration>,
+) -> Response<Body> {
+    let _guard = shared.lifecycle.track_call();
+    let started = shared.now();
+    let in_force = shared.in_force.load_full();
+    let resolved = find_route(&in_force.routes, &request);
+    let identified = workspace::identify(&in_force.keys, request.headers_mut());
     let caller = call::caller_info(request.headers());
     let fractional = caller.id.is_some();
     let class = resolved.map_or("none", |resolved| resolved.route.class.into());
-    let mut response = match resolved {
-        Some(resolved) => dispatch(&shared, Arc::clone(resolved), request, &caller).await,
-        None if shared.lifecycle.is_ready() => reject(RoutingError::NoRoute, fractional),
-        None => reject(RoutingError::Starting, fractional),
+    let denial = identified.denial().filter(|_| resolved.is_some_and(|found| !found.route.public));
+    let workspace = identified.workspace();
+    let tenant = inbound::tenant(request.headers());
+    let tenant = workspace.as_ref().map_or(tenant.0, |workspace| workspace.name.clone());
+    let mut response = match (resolved, denial) {
+        _ if !shared.lifecycle.is_ready() => reject(RoutingError::Starting, fractional),
+        (Some(_), Some(reason)) => reject(reason, fractional),
+        (Some(resolved), None) => {
+            dispatch(&shared, Arc::clone(resolved), workspace, request, &caller, read_at).await
+        }
+        (None, _) => reject(RoutingError::NoRoute, fractional),
     };
     // A point that is not a `FailurePoint` is a `RoutingError`.
     let point = header::parse::<FailurePoint>(response.headers(), &header::POINT);
-    if let (Some(reason), None) = (response.headers().get(&header::POINT), point) {
+    let is_logged = response.status() == StatusCode::TOO_MANY_REQUESTS;
+    if let (Some(reason), None, false) = (response.headers().get(&header::POINT), point, is_logged)
+    {
         let reason = reason.to_str().unwrap_or_default().to_owned();
         let version = in_force.snapshot.version;
         let id = call_id(caller.id.as_ref());
@@ -119,13 +154,12 @@
 async fn dispatch(
     shared: &Arc<Shared>,
     resolved: Arc<ResolvedRoute>,
-    request: Request<Incoming>,
+    workspace: Option<Arc<Workspace>>,
+    request: Request<Option<Incoming>>,
     caller: &call::CallerInfo,
+    read_at: Option<Duration>,
 ) -> Response<Body> {
     let reject = |reason| reject(reason, caller.id.is_some());
-    if !shared.lifecycle.is_ready() {
-        return reject(RoutingError::Starting);
-    }
     let shutdown = shared.lifecycle.shutdown();
     if shutdown.is_some_and(|shutdown| shared.now() >= shutdown.accept_until) {
         return reject(RoutingError::Stopping);
@@ -138,23 +172,33 @@
         return reject(RoutingError::NoService);
     };
     let (mut parts, body) = request.into_parts();
-    if body.size_hint().lower() > shared.settings.options.limits.body_bytes {
+    if body.as_ref().map_or(0, |body| body.size_hint().lower())
+        > shared.settings.options.limits.body_bytes
+    {
         return reject(RoutingError::BodySize);
     }
     let Some(payload) = accept_body(shared, body).await else {
         return reject(RoutingError::BadBody);
     };
     header::strip_hop_by_hop(&mut parts.headers);
+    if let Some(workspace) = &workspace {
+        header::set(&mut parts.headers, header::WORKSPACE, workspace.name.as_str());
+    }
     let origin = shared.reloadable.load().service.clone();
     call::set_origin(&mut parts.headers, origin.as_ref().map(Name::as_str));
     header::set(&mut parts.headers, header::DEPTH, &(depth + 1).to_string());
     let now = shared.now();
+    let read_at = read_at.unwrap_or(now);
     let route_limit = Duration::from_millis(resolved.route.deadline_ms);
     let requested = header::millis(&parts.headers, &header::DEADLINE_MS);
     let requested = requested.or(caller.time_left).unwrap_or(route_limit);
-    let deadline = now + route_limit.min(requested);
+    let deadline = read_at + route_limit.min(requested);
     // A call accepted during a graceful shutdown must end before the process does.
     let deadline = shutdown.map_or(deadline, |shutdown| deadline.min(shutdown.respond_until));
+    if read_at < now && deadline <= now {
+        // It waited for its turn on the connection.
+        return reject(RoutingError::Late);
+    }
     let key = idempotency_key(&resolved, &parts.headers);
     let replayable = matches!(payload, Payload::Buffered(_));
     let waited = match caller.time_left {
@@ -162,7 +206,7 @@
         None => Duration::ZERO,
     };
     let target_latency = resolved.route.target_latency_ms.map(Duration::from_millis);
-    let useful_until = target_latency.map(|latency| now + latency.saturating_sub(waited));
+    let useful_until = target_latency.map(|latency| read_at + latency.saturating_sub(waited));
     let constraints = Constraints {
         repeatable: resolved.route.repeatable,
         keyed: key.is_some(),
@@ -178,16 +222,21 @@
         query_after: QUERY_AFTER,
     };
     credit_budgets(shared, &service, &resolved);
-    let shared = Arc::clone(shared);
-    OutboundCall::new(shared, service, resolved, parts, payload, key, constraints).run().await
+    let admitted = match quota::admit_call(shared, workspace.as_ref(), caller.id.as_ref()).await {
+        Ok(admitted) => admitted,
+        Err(rejected) => return rejected.into_response(caller.id.is_some()),
+    };
+    let routed = Routed { service, resolved, workspace };
+    let call = OutboundCall::new(Arc::clone(shared), routed, parts, payload, key, constraints);
+    admitted.settle(shared, call.run().await)
 }
 
 /// Buffers a small request body; holds a large one until a target has room for it.
 /// Returns `None` if a body that is read here is truncated or too slow.
-async fn accept_body(shared: &Shared, body: Incoming) -> Option<Payload> {
-    if body.is_end_stream() {
+async fn accept_body(shared: &Shared, body: Option<Incoming>) -> Option<Payload> {
+    let Some(body) = body.filter(|body| !body.is_end_stream()) else {
         return Some(Payload::Buffered(Bytes::new()));
-    }
+    };
     let limits = &shared.settings.options.limits;
     let max_pause = Duration::from_millis(limits.body_pause_ms);
     if body.size_hint().lower() >= LARGE_MESSAGE_BYTES as u64 {
@@ -250,8 +299,10 @@
     let headers = response.headers_mut();
     header::set(headers, header::OUTCOME, Outcome::NotRun.into());
     header::set(headers, header::POINT, reason.into());
-    if reason.status() == StatusCode::SERVICE_UNAVAILABLE {
-        set_retry_after(headers, RETRY_AFTER, fractional);
+    match reason.status() {
+        StatusCode::SERVICE_UNAVAILABLE => set_retry_after(headers, RETRY_AFTER, fractional),
+        StatusCode::UNAUTHORIZED => call::set_challenge(headers),
+        _ => {}
     }
     response
 }
--- a/crates/medlarpoint_daemon/src/state.rs
+++ b/crates/medlarpoint_daemon/src/state.rs
@@ -1,7 +1,7 @@
 //! State shared by the tasks of a daemon.
 //!
 //! Lock order: `control`, then `services`, then a service's split, then its picker, budgets
-//! or hedges, then `intake`, then `waiters`. `suspects` and `rollouts` are locked last. `target`, `target_run`, `deregistrations` and
+//! or hedges, then `intake`, then `waiters`. `suspects` and `rollouts` are locked last, as is each lock of `quotas`. `target`, `target_run`, `deregistrations` and
 //! `wait_estimator` are not held together with any other lock. No lock is held across
 //! an await except `claim_lease`, which lets one task at a time request a lease, and
 //! `target_check`, which lets one task at a time connect to the target.
@@ -21,7 +21,8 @@
 use medlarpoint_platform::store::Client;
 use medlarpoint_routing::rollout::Split;
 use medlarpoint_routing::{
-    Budget, Departures, HedgeDelays, Intake, Picker, RouteTable, Suspects, TargetRun, WaitEstimator,
+    Budget, Departures, HedgeDelays, Intake, KeyTable, Picker, RouteTable, Suspects, TargetRun,
+    WaitEstimator,
 };
 use medlarpoint_store::{Era, Lease};
 use medlarpoint_wire::{Readiness, Record, Tip};
@@ -33,23 +34,27 @@
 use crate::keep_alive::Connections;
 use crate::lifecycle::Lifecycle;
 use crate::log::Log;
+use crate::pipeline::EarlyCalls;
 use crate::pool::Pool;
+use crate::quota::Quotas;
 use crate::rollouts::Rollouts;
 use crate::settings::Settings;
 use crate::slowdown::Slowdown;
 use crate::traffic::Traffic;
 
-/// Version in force with its compiled routes.
+/// Version in force with its compiled routes and keys.
 #[derive(Debug)]
 pub(crate) struct InForce {
     pub(crate) snapshot: Arc<Snapshot>,
     pub(crate) routes: RouteTable,
+    pub(crate) keys: KeyTable,
 }
 
 impl InForce {
     pub(crate) fn new(snapshot: Arc<Snapshot>) -> Self {
         let routes = RouteTable::compile(&snapshot);
-        Self { snapshot, routes }
+        let keys = KeyTable::compile(&snapshot);
+        Self { snapshot, routes, keys }
     }
 }
 
@@ -180,6 +185,8 @@
     pub(crate) suspects: Mutex<Suspects>,
     /// Wakes the task that broadcasts changes of `suspects`.
     pub(crate) suspects_changed: Notify,
+    /// Tokens that this daemon borrows and lends.
+    pub(crate) quotas: Quotas,
     /// Orders to move services to new versions.
     pub(crate) rollouts: Mutex<Rollouts>,
     /// Calls that the current process of the target has begun.
@@ -199,6 +206,8 @@
     pub(crate) slowdown: Slowdown,
     /// Connections of callers.
     pub(crate) caller_connections: Connections,
+    /// Calls that were started before their turn on the connections of callers.
+    pub(crate) early_calls: EarlyCalls,
     /// Connections to other daemons.
     pub(crate) pool: Arc<Pool>,
     /// Connections to the target of this VM.
