--- a/crates/medlarpoint_bench/src/bin/medlarpoint-bench.rs
+++ b/crates/medlarpoint_bench/src/bin/medlarpoint-bench.rs
@@ -6,7 +6,7 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 use medlarpoint_bench::experiment::{
-    blocking, capacity, convergence, crest, faults, overhead, stragglers,
+    blocking, capacity, convergence, crest, faults, overhead, quota, stragglers,
 };
 use medlarpoint_bench::{Failure, fuzz, node, report, soak};
 use serde::Serialize;
@@ -60,6 +60,8 @@
     Stragglers(stragglers::Flags),
     /// Combines killed daemons, silent connections and a network partition.
     Faults(faults::Flags),
+    /// Measures the admission of calls by the quota of their workspace.
+    Quota(quota::Flags),
     /// Draws charts from the journal and from experiments.
     Report(report::Flags),
     /// Disturbs real processes from outside and checks the guarantees.
@@ -119,6 +121,7 @@
         Command::Blocking(flags) => print(&blocking::run(&flags).await?, format),
         Command::Stragglers(flags) => print(&stragglers::run(&flags).await?, format),
         Command::Faults(flags) => print(&faults::run(&flags).await?, format),
+        Command::Quota(flags) => print(&quota::run(&flags)?, format),
         Command::Report(flags) => print(&report::run(&flags)?, format),
         Command::Soak(flags) => run_soak(&flags, format).await,
         Command::Node { settings, watch } => match (settings, watch) {
--- a/crates/medlarpoint_bench/src/experiment.rs
+++ b/crates/medlarpoint_bench/src/experiment.rs
@@ -7,6 +7,7 @@
 pub mod crest;
 pub mod faults;
 pub mod overhead;
+pub mod quota;
 pub mod stragglers;
 
 pub use call_flags::{CallFlags, quantile_ms};
