--- a/crates/medlarpoint_daemon/src/event.rs
+++ b/crates/medlarpoint_daemon/src/event.rs
@@ -224,6 +224,14 @@
     7101 Info KeyRejected { id: String, route: String, reason: String, version: Version } => "call {id} on {route} rejected for its key: {reason}, by {version}";
     /// A version with other keys is in force on this daemon. A key that moved to another workspace counts as added and as removed.
     7102 Info KeysChanged { version: Version, workspaces: usize, added: usize, removed: usize } => "{version} has {workspaces} workspaces, {added} keys added, {removed} removed";
+    /// This daemon began to lend the tokens of workspaces with a quota. No token is lent in the first 0.8 s, since the previous allocator may still lend.
+    7201 Info AllocatorBegan { workspaces: usize, reachable: u32, known: u32 } => "allocator of {workspaces} workspaces, {reachable} of {known} members reachable";
+    /// This daemon no longer lends tokens of workspaces.
+    7202 Info AllocatorEnded {} => "no longer an allocator";
+    /// Calls of a workspace are rejected because its quota is used up. Logged at most once a second per workspace and daemon.
+    7203 Info WorkspaceAtQuota { workspace: Name, rejected: u64, retry_ms: u64 } => "workspace {workspace} is at its quota: {rejected} calls rejected since the last such line, retry in {retry_ms} ms";
+    /// A call was rejected by the quota of its workspace. The cause is `at-quota`, or `no-grant` if no allocator responded in time.
+    7204 Info CallOverQuota { id: String, workspace: Name, cause: String, retry_ms: u64, allocator: String } => "call {id} of workspace {workspace} rejected: {cause}, retry in {retry_ms} ms, allocator {allocator}";
 
     /// A listener of the operators' API failed.
     6001 Error ApiFailed { reason: String } => "the operators' API failed: {reason}";
