--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -134,7 +134,8 @@
     let id = call_id(caller.id.as_ref());
     match (denial, resolved) {
         (Some(denial), Some(resolved)) if response.status() == StatusCode::UNAUTHORIZED => {
-            let (reason, route) = (<&str>::from(denial).to_owned(), resolved.route.name.to_string());
+            let (reason, route) =
+                (<&str>::from(denial).to_owned(), resolved.route.name.to_string());
             workspace::count_denial(denial);
             shared.emit_call(&Event::KeyRejected { id, route, reason, version });
         }
