One allocator of quotas per 24 members

With one per 256, the loss of one VM of 89 left every workspace with a quota without tokens until it was declared dead and its successor had settled. With four, a quarter of them are. The messages of an allocator fall with the number of workspaces that it serves.

--- a/crates/medlarpoint_membership/src/allocator.rs
+++ b/crates/medlarpoint_membership/src/allocator.rs
@@ -7,8 +7,9 @@
 
 use crate::{Role, Table, ranked};
 
-/// Number of members that one allocator lends to, which bounds its messages.
-const MEMBERS_PER_ALLOCATOR: usize = 256;
+/// Number of members per allocator. It bounds the messages of an allocator, and the workspaces
+/// that get no tokens while the loss of one has not been noticed.
+const MEMBERS_PER_ALLOCATOR: usize = 24;
 
 /// The allocators as one member sees them.
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/crates/medlarpoint_membership/src/allocator/tests.rs
+++ b/crates/medlarpoint_membership/src/allocator/tests.rs
@@ -47,8 +47,8 @@
 /// Guards against an allocator that lends to more members than its messages are bounded for,
 /// and against workspaces that are all lent by one.
 #[test]
-fn there_is_one_allocator_per_256_members() {
-    for (members, expected) in [(1, 1), (89, 1), (256, 1), (257, 2), (1_100, 5)] {
+fn there_is_one_allocator_per_24_members() {
+    for (members, expected) in [(1, 1), (24, 1), (25, 2), (89, 4), (1_100, 46)] {
         let allocators = Allocators::of(&table(members), &local(), ms(5_000), SETTLING);
         assert_eq!(allocators.holders.len(), expected);
         let names = (0..200).map(|n| format!("w-{n}").parse().unwrap());
