Read-through: wrong or redundant comments, one lifetime of tokens, one lookup of broadcast children

The window of the quota's ledger and the debt after a takeover repeated the lifetime of a token as literals. Three places derived a daemon's children in a broadcast tree; Control::broadcast_children does now.

--- a/crates/medlarpoint_daemon/src/control.rs
+++ b/crates/medlarpoint_daemon/src/control.rs
@@ -7,9 +7,7 @@
 use medlarpoint_config::pull::Rank;
 use medlarpoint_config::replica::Effect;
 use medlarpoint_config::{Distance, Rejection};
-use medlarpoint_membership::{
-    Action, Event as MemberEvent, Role, StoreRead, broadcast, fallback, readers,
-};
+use medlarpoint_membership::{Action, Event as MemberEvent, Role, StoreRead, fallback, readers};
 use medlarpoint_model::{Delta, Vm};
 use medlarpoint_wire::{Body, Frame, Gossip, PROTOCOL_VERSION, PullResponse, Record, Tip, encode};
 use rand::seq::IndexedRandom;
@@ -269,14 +267,7 @@
     /// Forwards a store read to this daemon's children in the broadcast tree.
     fn forward_store_read(&self, control: &Control, read: &StoreRead) {
         let tip = control.replica.tip();
-        let table = control.detector.table();
-        let own_vm = &control.detector.local_record().vm;
-        let members = table.live().map(|record| &record.vm);
-        let children: Vec<SocketAddr> = broadcast::children(&read.origin, own_vm, members)
-            .into_iter()
-            .filter_map(|vm| table.get(vm).map(|member| member.record.peer))
-            .collect();
-        for to in children {
+        for to in control.broadcast_children(&read.origin) {
             let body = Body::Fresh {
                 origin: read.origin.clone(),
                 boot: read.boot,
--- a/crates/medlarpoint_daemon/src/outbound_call.rs
+++ b/crates/medlarpoint_daemon/src/outbound_call.rs
@@ -84,7 +84,8 @@
     pub(crate) service: Arc<ServiceState>,
     /// Route that the call matches.
     pub(crate) resolved: Arc<ResolvedRoute>,
-    /// Workspace that the call belongs to; `None` if it carries no key.
+    /// Workspace that the call belongs to; `None` if the version in force has
+    /// no workspaces, or if a call on a public route carries no valid key.
     pub(crate) workspace: Option<Arc<Workspace>>,
 }
 
@@ -93,7 +94,8 @@
     shared: Arc<Shared>,
     service: Arc<ServiceState>,
     resolved: Arc<ResolvedRoute>,
-    /// Workspace that the call belongs to; `None` if it carries no key.
+    /// Workspace that the call belongs to; `None` if the version in force has
+    /// no workspaces, or if a call on a public route carries no valid key.
     workspace: Option<Arc<Workspace>>,
     parts: request::Parts,
     payload: Payload,
--- a/crates/medlarpoint_daemon/src/quota.rs
+++ b/crates/medlarpoint_daemon/src/quota.rs
@@ -92,7 +92,7 @@
             () = shared.quotas.wanted.notified() => {
                 let next = lock(&shared.quotas.purse).next_ask();
                 tokio::time::sleep_until(shared.clock.instant(next)).await;
-                if lock(&shared.quotas.purse).must_ask(shared.now()) {
+                if lock(&shared.quotas.purse).may_ask_for_waiting(shared.now()) {
                     asked_at = shared.now();
                     ask(&driver);
                 }
--- a/crates/medlarpoint_daemon/src/rollouts.rs
+++ b/crates/medlarpoint_daemon/src/rollouts.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use medlarpoint_membership::{Role, broadcast, ranked, readers};
+use medlarpoint_membership::{Role, ranked, readers};
 use medlarpoint_model::{Name, Vm};
 use medlarpoint_platform::rollout::State;
 use medlarpoint_routing::ResolvedRoute;
@@ -187,13 +187,7 @@
 }
 
 fn forward(driver: &Driver, control: &Control, origin: &Vm, news: &[Rollout]) {
-    let table = control.detector.table();
-    let own_vm = &control.detector.local_record().vm;
-    let members = table.live().map(|record| &record.vm);
-    let children: Vec<SocketAddr> = broadcast::children(origin, own_vm, members)
-        .into_iter()
-        .filter_map(|vm| table.get(vm).map(|member| member.record.peer))
-        .collect();
+    let children = control.broadcast_children(origin);
     for part in news.chunks(ROLLOUTS_PER_DATAGRAM) {
         for to in &children {
             send(driver, control, *to, origin, part);
--- a/crates/medlarpoint_daemon/src/state.rs
+++ b/crates/medlarpoint_daemon/src/state.rs
@@ -16,8 +16,8 @@
 use indexmap::IndexMap;
 use medlarpoint_config::{Distance, History, Rejection, Replica, pull};
 use medlarpoint_membership::instance::Instance;
-use medlarpoint_membership::{Deregistrations, Detector, Freshness, Reporter};
-use medlarpoint_model::{Name, Snapshot, Version};
+use medlarpoint_membership::{Deregistrations, Detector, Freshness, Reporter, broadcast};
+use medlarpoint_model::{Name, Snapshot, Version, Vm};
 use medlarpoint_platform::bounds::Bounds;
 use medlarpoint_platform::store::Client;
 use medlarpoint_routing::rollout::Split;
@@ -99,6 +99,17 @@
     pub(crate) store_era: Era,
 }
 
+impl Control {
+    /// Returns the peer addresses to which this daemon forwards a broadcast of `origin`.
+    pub(crate) fn broadcast_children(&self, origin: &Vm) -> Vec<SocketAddr> {
+        let table = self.detector.table();
+        let own_vm = &self.detector.local_record().vm;
+        let members = table.live().map(|record| &record.vm);
+        let children = broadcast::children(origin, own_vm, members).into_iter();
+        children.filter_map(|vm| table.get(vm).map(|member| member.record.peer)).collect()
+    }
+}
+
 /// State of this VM's target.
 #[derive(Clone, Debug)]
 pub(crate) struct TargetState {
--- a/crates/medlarpoint_daemon/src/suspects.rs
+++ b/crates/medlarpoint_daemon/src/suspects.rs
@@ -3,11 +3,9 @@
 //! A change is broadcast at once. Probes and their acknowledgements repeat it, so that a
 //! lost datagram delays it only, and a daemon that starts asks a peer.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use medlarpoint_membership::broadcast;
 use medlarpoint_model::{Fingerprint, Vm};
 use medlarpoint_routing::{SuspectReport, Suspicion};
 use medlarpoint_wire::{Body, Suspect};
@@ -100,13 +98,7 @@
 }
 
 fn forward(driver: &Driver, control: &Control, origin: &Vm, suspects: &[Suspect]) {
-    let table = control.detector.table();
-    let own_vm = &control.detector.local_record().vm;
-    let members = table.live().map(|record| &record.vm);
-    let children: Vec<SocketAddr> = broadcast::children(origin, own_vm, members)
-        .into_iter()
-        .filter_map(|vm| table.get(vm).map(|member| member.record.peer))
-        .collect();
+    let children = control.broadcast_children(origin);
     for to in children {
         let body = Body::Suspects { origin: origin.clone(), suspects: suspects.to_vec() };
         driver.send(control, to, body);
--- a/crates/medlarpoint_daemon/src/target_pace.rs
+++ b/crates/medlarpoint_daemon/src/target_pace.rs
@@ -9,8 +9,8 @@
 use crate::inbound;
 use crate::state::{Shared, lock};
 
-/// Age from which a process that states no remaining warm-up time counts as warm. Cold
-/// starts of a few seconds were seen; a process may also not state its warm-up time.
+/// Age from which a process that states no remaining warm-up time counts as warm. A process may
+/// not state it, so the age has to exceed a cold start.
 const WARM_AGE: Duration = Duration::from_secs(10);
 /// Shortest time between two events of the same kind.
 const EVENT_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/medlarpoint_daemon/src/workspace.rs
+++ b/crates/medlarpoint_daemon/src/workspace.rs
@@ -14,8 +14,8 @@
 use crate::outbound::RoutingError;
 use crate::state::{InForce, Shared, lock};
 
-/// Limit on the workspaces that metrics name during one run of the daemon. Each name adds
-/// about 20 series, and the recorder keeps them until the process ends.
+/// Limit on the workspaces that metrics name during one run of the daemon, since the recorder
+/// never drops a series.
 const MAX_LABELS: usize = 256;
 /// Label of the workspaces beyond [`MAX_LABELS`].
 const OTHER_LABEL: &str = "other";
--- a/crates/medlarpoint_routing/src/fair_due.rs
+++ b/crates/medlarpoint_routing/src/fair_due.rs
@@ -23,9 +23,8 @@
 
 use crate::{AttemptId, Ticket};
 
-/// Limit on the service that a flow may catch up, in calls of a flow of weight 1. In
-/// `tests/workspace_share.rs`, the mean wait of the other workspaces during a flood was 23.9 ms
-/// with 8, 23.0 ms with 16 and 25.2 ms with 32 (mean of five seeds).
+/// Limit on the service that a flow may catch up, in calls of a flow of weight 1. It exceeds the
+/// bursts of an ordinary workspace; more of it would also serve the start of a flood.
 const MAX_CREDIT: f64 = 16.0;
 
 /// Sort key within a flow: due date, then attempt id.
--- a/crates/medlarpoint_routing/src/pace.rs
+++ b/crates/medlarpoint_routing/src/pace.rs
@@ -103,7 +103,8 @@
 
 /// Limit on the calls in flight at one target.
 ///
-/// Invariant: the limit is at least 1, and below the slots for which it was last computed.
+/// Invariant: the limit is at least 1, and below the slots for which it was last computed
+/// unless these were zero.
 #[derive(Clone, Debug)]
 pub(crate) struct Pace {
     /// `None` while all slots are usable.
@@ -200,7 +201,7 @@
         }
         let took = now.saturating_sub(call.started_at);
         let ratio = call.expected.or(usual).map(|expected| ratio(took, expected));
-        if ratio.is_some() && call.expected.is_some() && call.end != End::Withdrawn {
+        if call.expected.is_some() && call.end != End::Withdrawn {
             self.compared_at = Some(now);
         }
         match (call.end, ratio) {
--- a/crates/medlarpoint_routing/src/quota/bucket.rs
+++ b/crates/medlarpoint_routing/src/quota/bucket.rs
@@ -11,7 +11,7 @@
 const ACCUMULATION_US: i64 = 300_000;
 /// Part of the rate with which a new bucket begins to be in debt: what the previous
 /// allocator may still lend for 0.5 s, and what had accumulated in its bucket.
-const TAKEOVER_DEBT_US: i64 = 500_000 + ACCUMULATION_US;
+const TAKEOVER_DEBT_US: i64 = super::TOKEN_LIFETIME.as_micros() as i64 + ACCUMULATION_US;
 
 /// Token bucket. Integers make it exact, and its states comparable.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
--- a/crates/medlarpoint_routing/src/quota/ledger.rs
+++ b/crates/medlarpoint_routing/src/quota/ledger.rs
@@ -8,12 +8,11 @@
 
 /// Time that one slot covers.
 const SLOT: Duration = Duration::from_millis(50);
-/// Number of slots that touch a window of 5.5 s: tokens lent in that time can be used within
-/// the 5 s of the required bound.
-const SLOTS: u128 = 111;
+/// Number of slots that touch that window.
+const SLOTS: u128 = (WINDOW_US as u128).div_ceil(SLOT.as_micros()) + 1;
 /// Time in which tokens lent can be used within one window of the required bound, in
 /// microseconds.
-const WINDOW_US: u64 = 5_500_000;
+const WINDOW_US: u64 = 5_000_000 + super::TOKEN_LIFETIME.as_micros() as u64;
 
 /// Tokens lent and not returned in the last 5.5 s. A bucket alone would admit the tokens
 /// that accumulate between requests beyond the required bound.
--- a/crates/medlarpoint_routing/src/quota/purse.rs
+++ b/crates/medlarpoint_routing/src/quota/purse.rs
@@ -235,9 +235,9 @@
         }
     }
 
-    /// Returns whether calls wait whose tokens have not been asked for, and a request may be
-    /// sent.
-    pub fn must_ask(&self, now: Duration) -> bool {
+    /// Returns whether calls wait for a token and a request may be sent. Tokens that were already
+    /// asked for are subtracted in [`Purse::requests`].
+    pub fn may_ask_for_waiting(&self, now: Duration) -> bool {
         now >= self.asked_at + MIN_ASK_INTERVAL
             && self.accounts.values().any(|account| account.waiting > 0)
     }
--- a/crates/medlarpoint_routing/src/rollout/judge.rs
+++ b/crates/medlarpoint_routing/src/rollout/judge.rs
@@ -18,7 +18,7 @@
 /// Number of responses of the old version in the last steps below which the rate of the whole
 /// order is taken: a single failure among a few would hide a bad version.
 const MIN_RECENT_RESPONSES: u64 = 20;
-/// Increase of the rate of bad responses that is tested for. Bad versions have 0.3 and more.
+/// Smallest increase of the rate of bad responses that the test is designed to detect.
 const RATE_INCREASE: f64 = 0.2;
 /// Rate of bad responses of the old version above which nothing can be concluded.
 const MAX_BASE_RATE: f64 = 0.7;
@@ -29,7 +29,7 @@
 const RESPONSES_PER_TEST: f64 = 40.0;
 /// Number of steps over which the rate of the old version is taken: 2 s of reports.
 const BASE_STEPS: usize = 4;
-/// Number of steps that are remembered: longer than an order's period.
+/// Limit on the steps that are remembered, which bounds memory. Earlier evidence is dropped.
 const MAX_STEPS: usize = 64;
 /// One in this many new targets, and at least one, is left out in the second test: targets
 /// and VMs may fail or be slow by themselves.
--- a/crates/medlarpoint_routing/tests/quota_fleet/mod.rs
+++ b/crates/medlarpoint_routing/tests/quota_fleet/mod.rs
@@ -409,7 +409,7 @@
         }
         let daemon = &self.daemons[number];
         let is_due = now >= daemon.asked_at + ASK_INTERVAL.as_millis() as u64;
-        if is_due || daemon.purse.must_ask(time) {
+        if is_due || daemon.purse.may_ask_for_waiting(time) {
             self.ask(number);
         }
     }
