--- a/crates/medlarpoint_membership/src/allocator.rs
+++ b/crates/medlarpoint_membership/src/allocator.rs
@@ -7,13 +7,8 @@
 
 use crate::{Role, Table, ranked};
 
-/// Number of members per allocator. It bounds the messages of an allocator, and the workspaces
-/// that get no tokens while the loss of one has not been noticed.
-const MEMBERS_PER_ALLOCATOR: usize = 24;
-
-/// Difference between the start times of two daemons, on the wall clocks of their VMs, up to
-/// which they count as started together, in milliseconds.
-const FLEET_START_MS: u64 = 5_000;
+/// Number of members that one allocator lends to, which bounds its messages.
+const MEMBERS_PER_ALLOCATOR: usize = 256;
 
 /// The allocators as one member sees them.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -32,8 +27,7 @@
 impl Allocators {
     /// Determines the allocators. Members count once they have been live for `settling`. If
     /// this holds for less than half of them, the local table is new and does not tell for
-    /// how long the others have been live; all of them count then, and the local one only if
-    /// most have started together with it, as after a loss of power everywhere.
+    /// how long the others have been live; all of them count then, except for the local one.
     pub fn of(table: &Table, local: &Vm, now: Duration, settling: Duration) -> Self {
         let members = || table.members().filter(|member| member.record.is_live());
         let settled = |member: &&crate::Member| now.saturating_sub(member.live_since) >= settling;
@@ -41,9 +35,8 @@
             members().filter(settled).map(|member| &member.record).collect();
         let live = members().count();
         if candidates.len() * 2 < live {
-            let with_local = has_started_with_most(table, local);
-            let all = members().filter(|member| with_local || member.record.vm != *local);
-            candidates = all.map(|member| &member.record).collect();
+            let others = members().filter(|member| member.record.vm != *local);
+            candidates = others.map(|member| &member.record).collect();
         }
         let count = live.div_ceil(MEMBERS_PER_ALLOCATOR);
         let holders = ranked(Role::Allocator, candidates.iter().map(|record| &record.vm), count);
@@ -64,29 +57,16 @@
     }
 }
 
-/// Returns whether most live members started at about the time of the local one.
-fn has_started_with_most(table: &Table, local: &Vm) -> bool {
-    let Some(own) = table.get(local) else {
-        return false;
-    };
-    let own_boot = own.record.boot.0;
-    let live = table.live().count();
-    let together =
-        table.live().filter(|record| record.boot.0.abs_diff(own_boot) <= FLEET_START_MS).count();
-    live > 1 && together * 2 > live
-}
-
 /// Whether the local table may be relied on for the number of known members.
 ///
 /// A daemon that has restarted on the smaller side of a partition does not know the members
 /// of the other side, and would lend entire quotas. Some members keep an entry in the store;
-/// the daemon lends only if it knows most of them. Not all: the entries of members that are
-/// gone stay until their leases end, and after a restart of the fleet nobody knows those.
+/// if one of them is unknown here, the daemon does not lend.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Trust {
     /// Members with an entry, once they have been listed.
     registered: Option<Vec<Vm>>,
-    /// Whether the table once held most of them. It keeps dead members from then on.
+    /// Whether the table once held all of them. It keeps dead members from then on.
     established: bool,
 }
 
@@ -101,10 +81,7 @@
     pub fn may_lend(&mut self, table: &Table, local: &Vm) -> bool {
         self.established = self.established
             || match &self.registered {
-                Some(registered) => {
-                    let known = registered.iter().filter(|vm| table.get(vm).is_some()).count();
-                    known * 2 > registered.len() || registered.is_empty()
-                }
+                Some(registered) => registered.iter().all(|vm| table.get(vm).is_some()),
                 None => table.live().any(|record| record.vm != *local),
             };
         self.established
--- a/crates/medlarpoint_membership/src/allocator/tests.rs
+++ b/crates/medlarpoint_membership/src/allocator/tests.rs
@@ -47,8 +47,8 @@
 /// Guards against an allocator that lends to more members than its messages are bounded for,
 /// and against workspaces that are all lent by one.
 #[test]
-fn there_is_one_allocator_per_24_members() {
-    for (members, expected) in [(1, 1), (24, 1), (25, 2), (89, 4), (1_100, 46)] {
+fn there_is_one_allocator_per_256_members() {
+    for (members, expected) in [(1, 1), (89, 1), (256, 1), (257, 2), (1_100, 5)] {
         let allocators = Allocators::of(&table(members), &local(), ms(5_000), SETTLING);
         assert_eq!(allocators.holders.len(), expected);
         let names = (0..200).map(|n| format!("w-{n}").parse().unwrap());
@@ -81,9 +81,7 @@
 #[test]
 fn a_daemon_that_has_just_started_goes_by_the_others() {
     let mut table = Table::default();
-    // The others have run for a minute.
-    let started_last = Record { boot: BootId(60_000), ..record(0, 1, Status::Alive) };
-    table.merge(&started_last, Duration::ZERO);
+    table.merge(&record(0, 1, Status::Alive), Duration::ZERO);
     assert_eq!(Allocators::of(&table, &local(), ms(100), SETTLING).holders, Vec::new());
     for number in 1..50 {
         table.merge(&record(number, 1, Status::Alive), ms(200));
@@ -126,24 +124,3 @@
     cut_off.on_listing(vec!["vm-3".parse().unwrap()]);
     assert!(cut_off.may_lend(&table, &local()));
 }
-
-/// Guards against a fleet without an allocator after a loss of power everywhere: every daemon
-/// is new, and some entries in the store are of members that are gone.
-#[test]
-fn a_fleet_that_has_started_together_has_an_allocator_at_once() {
-    let mut table = Table::default();
-    for number in 0..4 {
-        table.merge(&record(number, 1, Status::Alive), ms(100));
-    }
-    let views: Vec<Allocators> = (0..4)
-        .map(|number| {
-            let vm = format!("vm-{number}").parse().unwrap();
-            Allocators::of(&table, &vm, ms(200), SETTLING)
-        })
-        .collect();
-    assert_eq!(views[0].holders.len(), 1);
-    assert!(views.iter().all(|view| view.holders == views[0].holders));
-    let mut trust = Trust::default();
-    trust.on_listing((0..6).map(|number| format!("vm-{number}").parse().unwrap()).collect());
-    assert!(trust.may_lend(&table, &local()), "four of six entries are known");
-}
