One rendezvous weight, one way to abandon an attempt, no id of a call formatted in vain

The allocators, the broadcast tree and the roles each hashed key and member by the same lines; role::rendezvous_weight does now, with the same bytes. Dropping a call and cancelling an attempt repeated the same steps. Since the events of rejected keys, the id of each call was formatted, also where nothing is logged.

--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -131,15 +131,15 @@
         (None, _) => reject(RoutingError::NoRoute, fractional),
     };
     let version = in_force.snapshot.version;
-    let id = call_id(caller.id.as_ref());
     match (denial, resolved) {
         (Some(denial), Some(resolved)) if response.status() == StatusCode::UNAUTHORIZED => {
+            let id = call_id(caller.id.as_ref());
             let (reason, route) =
                 (<&str>::from(denial).to_owned(), resolved.route.name.to_string());
             workspace::count_denial(denial);
             shared.emit_call(&Event::KeyRejected { id, route, reason, version });
         }
-        _ => log_unroutable(&shared, &response, id, version),
+        _ => log_unroutable(&shared, &response, &caller, version),
     }
     header::set(response.headers_mut(), header::VERSION, &version.0.to_string());
     record_metrics(&response, tenant.as_str(), class, shared.now().saturating_sub(started));
@@ -148,7 +148,12 @@
 
 /// Logs a call that was rejected before any attempt, except for its quota, which has an event
 /// of its own.
-fn log_unroutable(shared: &Shared, response: &Response<Body>, id: String, version: Version) {
+fn log_unroutable(
+    shared: &Shared,
+    response: &Response<Body>,
+    caller: &call::CallerInfo,
+    version: Version,
+) {
     if response.status() == StatusCode::TOO_MANY_REQUESTS {
         return;
     }
@@ -156,6 +161,7 @@
     let point = header::parse::<FailurePoint>(response.headers(), &header::POINT);
     if let (Some(reason), None) = (response.headers().get(&header::POINT), point) {
         let reason = reason.to_str().unwrap_or_default().to_owned();
+        let id = call_id(caller.id.as_ref());
         shared.emit_call(&Event::CallUnroutable { id, reason, version });
     }
 }
--- a/crates/medlarpoint_daemon/src/outbound_call.rs
+++ b/crates/medlarpoint_daemon/src/outbound_call.rs
@@ -126,16 +126,8 @@
 impl Drop for OutboundCall {
     fn drop(&mut self) {
         let now = self.shared.now();
-        for (attempt, pending) in self.pending.drain() {
-            pending.task.abort();
-            lock(&self.service.picker).on_abandoned(now, &pending.vm, attempt);
-            rollouts::count_abandoned(
-                &self.service,
-                &self.resolved,
-                now,
-                &pending.vm,
-                pending.sent_at,
-            );
+        for (attempt, pending) in std::mem::take(&mut self.pending) {
+            self.abandon(now, attempt, &pending);
         }
     }
 }
@@ -294,19 +286,18 @@
     fn cancel_attempt(&mut self, attempt: AttemptId) {
         self.responses.remove(&attempt);
         if let Some(pending) = self.pending.remove(&attempt) {
-            pending.task.abort();
-            let now = self.shared.now();
-            lock(&self.service.picker).on_abandoned(now, &pending.vm, attempt);
-            rollouts::count_abandoned(
-                &self.service,
-                &self.resolved,
-                now,
-                &pending.vm,
-                pending.sent_at,
-            );
+            self.abandon(self.shared.now(), attempt, &pending);
         }
     }
 
+    /// Cancels an attempt that has no response.
+    fn abandon(&self, now: Duration, attempt: AttemptId, pending: &PendingAttempt) {
+        pending.task.abort();
+        let (service, PendingAttempt { vm, sent_at, .. }) = (&self.service, pending);
+        lock(&service.picker).on_abandoned(now, vm, attempt);
+        rollouts::count_abandoned(service, &self.resolved, now, vm, *sent_at);
+    }
+
     /// Records an event of an attempt in the log and in the picker's statistics.
     fn handle_event(&mut self, received: Option<AttemptEvent>) -> CallEvent {
         let Some(AttemptEvent { event, response }) = received else {
--- a/crates/medlarpoint_membership/src/allocator.rs
+++ b/crates/medlarpoint_membership/src/allocator.rs
@@ -5,6 +5,7 @@
 use medlarpoint_model::{Name, Vm};
 use medlarpoint_wire::{Record, Status};
 
+use crate::role::rendezvous_weight;
 use crate::{Role, Table, ranked};
 
 /// Number of members that one allocator lends to, which bounds its messages.
@@ -53,7 +54,9 @@
 
     /// Returns the allocator that is responsible for a workspace.
     pub fn holder(&self, workspace: &Name) -> Option<&Record> {
-        self.holders.iter().min_by_key(|record| (weight(workspace, &record.vm), &record.vm))
+        self.holders
+            .iter()
+            .min_by_key(|record| (rendezvous_weight(workspace.as_str(), &record.vm), &record.vm))
     }
 }
 
@@ -88,12 +91,5 @@
     }
 }
 
-fn weight(workspace: &Name, vm: &Vm) -> u64 {
-    let mut bytes = workspace.as_str().as_bytes().to_vec();
-    bytes.push(0);
-    bytes.extend_from_slice(vm.as_str().as_bytes());
-    rapidhash::v3::rapidhash_v3(&bytes)
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/medlarpoint_membership/src/broadcast.rs
+++ b/crates/medlarpoint_membership/src/broadcast.rs
@@ -7,20 +7,17 @@
 
 use medlarpoint_model::Vm;
 
+use crate::role::rendezvous_weight;
+
 /// Maximum number of members that each member forwards a message to.
 const FANOUT: usize = 16;
 
-fn weight(origin: &Vm, vm: &Vm) -> u64 {
-    let mut bytes = origin.as_str().as_bytes().to_vec();
-    bytes.push(0);
-    bytes.extend_from_slice(vm.as_str().as_bytes());
-    rapidhash::v3::rapidhash_v3(&bytes)
-}
-
 /// Returns the members that `local` forwards a message of `origin` to.
 pub fn children<'a>(origin: &Vm, local: &Vm, members: impl Iterator<Item = &'a Vm>) -> Vec<&'a Vm> {
-    let mut order: Vec<(u64, &Vm)> =
-        members.filter(|vm| *vm != origin).map(|vm| (weight(origin, vm), vm)).collect();
+    let mut order: Vec<(u64, &Vm)> = members
+        .filter(|vm| *vm != origin)
+        .map(|vm| (rendezvous_weight(origin.as_str(), vm), vm))
+        .collect();
     order.sort_unstable();
     let position = if local == origin {
         Some(0)
--- a/crates/medlarpoint_membership/src/role.rs
+++ b/crates/medlarpoint_membership/src/role.rs
@@ -21,15 +21,19 @@
     Allocator,
 }
 
-fn weight(role: Role, vm: &Vm) -> u64 {
-    let label: &'static str = role.into();
-    let mut bytes = Vec::with_capacity(label.len() + vm.as_str().len() + 1);
-    bytes.extend_from_slice(label.as_bytes());
+/// Returns the weight of a member in the rendezvous hash of `key`.
+pub(crate) fn rendezvous_weight(key: &str, vm: &Vm) -> u64 {
+    let mut bytes = Vec::with_capacity(key.len() + vm.as_str().len() + 1);
+    bytes.extend_from_slice(key.as_bytes());
     bytes.push(0);
     bytes.extend_from_slice(vm.as_str().as_bytes());
     rapidhash::v3::rapidhash_v3(&bytes)
 }
 
+fn weight(role: Role, vm: &Vm) -> u64 {
+    rendezvous_weight(role.into(), vm)
+}
+
 /// Returns the `count` highest-ranked members for a role.
 pub fn ranked<'a>(role: Role, vms: impl Iterator<Item = &'a Vm>, count: usize) -> Vec<&'a Vm> {
     let mut order: Vec<(u64, &Vm)> = vms.map(|vm| (weight(role, vm), vm)).collect();
