--- a/review/standins/mesh.py
+++ b/review/standins/mesh.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the platform, the application servers and the clients, for the scripts of the review.
+"""Stand-ins for the platform, its store, the application servers and the clients, for the scripts of the review.
 
 Standard library only. Everything runs on loopback; the daemons are the project's own program, started
 with the command of `deploy/system.toml` and with settings rendered from the template of the deploy file.
@@ -467,7 +467,8 @@
 
     async def end(self):
         for server in self.servers:
-            server.beats.cancel()
+            if server.beats:
+                server.beats.cancel()
         for daemon in self.daemons:
             await daemon.end()
         if os.environ.get("KEEP_LOGS"):
@@ -530,7 +531,7 @@
 
     try:
         broken = asyncio.run(run())
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:  # A fault of the script itself says nothing about the rule.
         record(f"could not run: {type(error).__name__} {error}")
         sys.exit(NOT_RUN)
     record("the rule was BROKEN" if broken else "the rule held")
