--- a/crates/medlarpoint_bench/src/experiment/convergence.rs
+++ b/crates/medlarpoint_bench/src/experiment/convergence.rs
@@ -8,7 +8,7 @@
 use http::Method;
 use medlarpoint_api::{Commit, CommitResult, Edit, Expect};
 use medlarpoint_model::{
-    Change, CommitId, Delta, Digest, Matcher, Name, Resource, Route, Service, Version,
+    Change, CommitId, Delta, Digest, Matcher, Name, PathPrefix, Resource, Route, Service, Version,
 };
 use medlarpoint_standin::HttpClient;
 use medlarpoint_wire::PullResponse;
@@ -130,7 +130,7 @@
 }
 
 fn route(number: usize, deadline_ms: u64) -> Result<Resource, Failure> {
-    let path_prefix = Some(format!("/r{number}"));
+    let path_prefix = Some(PathPrefix::new(format!("/r{number}")));
     Ok(Resource::Route(Route {
         matcher: Matcher { path_prefix, ..Matcher::default() },
         repeatable: true,
--- a/crates/medlarpoint_bench/src/fuzz/config.rs
+++ b/crates/medlarpoint_bench/src/fuzz/config.rs
@@ -14,8 +14,8 @@
     Distance, Edit, Head, Precondition, Proposal, Replica, Restore, checkpoint_key, head_key,
 };
 use medlarpoint_model::{
-    Change, CommitId, Key, Kind, Matcher, Name, Policy, Resource, Route, Service, Snapshot,
-    Version, Vm,
+    Change, CommitId, Key, Kind, Matcher, Name, PathPrefix, Policy, Resource, Route, Service,
+    Snapshot, Version, Vm,
 };
 use medlarpoint_store::{Error, Expected, Item, Key as StoreKey, MemoryStore};
 use medlarpoint_wire::{PullRequest, PullResponse};
@@ -109,7 +109,7 @@
             Change::Put(Resource::Service(Service { name: name("s", *s), policy }))
         }
         Operation::PutRoute(r, s) => {
-            let path_prefix = Some(format!("/{r}"));
+            let path_prefix = Some(PathPrefix::new(format!("/{r}")));
             Change::Put(Resource::Route(Route {
                 matcher: Matcher { path_prefix, ..Matcher::default() },
                 deadline_ms: 1_000,
--- a/crates/medlarpoint_config/src/publication/tests.rs
+++ b/crates/medlarpoint_config/src/publication/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of [`super`] and of a [`Replica`] that applies publications.
 
-use medlarpoint_model::{Name, Resource, Route, Service, Version};
+use medlarpoint_model::{Name, PathPrefix, Resource, Route, Service, Version};
 use medlarpoint_wire::{PullRequest, PullResponse};
 
 use super::Publication;
@@ -15,7 +15,7 @@
     let service = Resource::Service(Service { name: name("s"), policy: None });
     let route = |text: &&str| {
         let mut route = Route::new(name(text), name("s"));
-        route.matcher.path_prefix = Some(format!("/{text}/"));
+        route.matcher.path_prefix = Some(PathPrefix::new(format!("/{text}/")));
         Resource::Route(route)
     };
     let resources = std::iter::once(service).chain(routes.iter().map(route)).collect();
--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -332,3 +332,6 @@
     }
     response
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/medlarpoint_model/src/route.rs
+++ b/crates/medlarpoint_model/src/route.rs
@@ -4,7 +4,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-use crate::Name;
+use crate::{Name, PathPrefix};
 
 /// A rule that sends matching calls to a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
@@ -98,9 +98,10 @@
     /// Host of the call, without port; compared case-insensitively.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub host: Option<String>,
-    /// Prefix of the path, starting with `/`; matches whole path segments.
+    /// Prefix of the path, starting with `/`. With a `/` at its end it matches the paths that
+    /// begin with it, without one it matches whole path segments.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub path_prefix: Option<String>,
+    pub path_prefix: Option<PathPrefix>,
     /// Accepted methods in upper case; empty accepts all.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub methods: Vec<String>,
--- a/crates/medlarpoint_routing/src/route_table.rs
+++ b/crates/medlarpoint_routing/src/route_table.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderMap, Method};
 use indexmap::IndexMap;
-use medlarpoint_model::{Name, Policy, Route, Snapshot, WeightedService};
+use medlarpoint_model::{Name, PathPrefix, Policy, Route, Snapshot, WeightedService};
 
 /// Route with the policy of its service.
 #[derive(Clone, Debug, PartialEq)]
@@ -88,7 +88,7 @@
 fn sort(routes: &mut [Arc<ResolvedRoute>]) {
     routes.sort_by_key(|resolved| {
         let matcher = &resolved.route.matcher;
-        let prefix = matcher.path_prefix.as_ref().map_or(0, String::len);
+        let prefix = matcher.path_prefix.as_ref().map_or(0, PathPrefix::specificity);
         let headers = matcher.headers.len();
         let methods = u8::from(!matcher.methods.is_empty());
         (std::cmp::Reverse((prefix, headers, methods)), resolved.route.name.clone())
@@ -99,20 +99,12 @@
     let matcher = &route.matcher;
     let method_matches =
         matcher.methods.is_empty() || matcher.methods.iter().any(|m| m == method.as_str());
-    let path_matches = matcher.path_prefix.as_ref().is_none_or(|prefix| has_prefix(path, prefix));
+    let path_matches = matcher.path_prefix.as_ref().is_none_or(|prefix| prefix.matches(path));
     let header_matches = |(name, value): (&String, &String)| {
         headers.get(name).is_some_and(|actual| actual.as_bytes() == value.as_bytes())
     };
     method_matches && path_matches && matcher.headers.iter().all(header_matches)
 }
 
-fn has_prefix(path: &str, prefix: &str) -> bool {
-    let prefix = prefix.trim_end_matches('/');
-    let Some(rest) = path.strip_prefix(prefix) else {
-        return false;
-    };
-    rest.is_empty() || rest.starts_with('/')
-}
-
 #[cfg(test)]
 mod tests;
