--- a/crates/medlarpoint_daemon/src/daemon.rs
+++ b/crates/medlarpoint_daemon/src/daemon.rs
@@ -38,8 +38,8 @@
 use crate::traffic::{Counts, Traffic};
 use crate::workspace::Labels;
 use crate::{
-    api, api_response, peer, platform_endpoints, registry, reload, rollouts, startup, store_reader,
-    suspects, target,
+    api, api_response, departed, peer, platform_endpoints, registry, reload, rollouts, startup,
+    store_reader, suspects, target,
 };
 
 /// Time until other processes know that this daemon leaves: members learn it from
@@ -379,7 +379,7 @@
         rollouts: Mutex::default(),
         target_run: Mutex::default(),
         target_check: tokio::sync::Mutex::default(),
-        deregistrations: Mutex::default(),
+        departed: departed::Memory::default(),
         claim_lease: tokio::sync::Mutex::default(),
         departures: Mutex::default(),
         target_changed: AtomicBool::new(false),
--- a/crates/medlarpoint_daemon/src/event.rs
+++ b/crates/medlarpoint_daemon/src/event.rs
@@ -212,6 +212,15 @@
     /// This daemon's target has answered a call under which targets had crashed.
     5016 Info SuspectCleared { call: Fingerprint, crashes: u32 } => "call {call} was answered after {crashes} crashes in a row";
 
+    /// A process said that it leaves, and others keep that, so that a restart of this daemon does not forget it. The report is acknowledged. `peers` counts those that had confirmed by then.
+    5017 Info DepartureKept { instance: String, peers: usize, store: bool, took_ms: u64 } => "the departure of {instance} is kept by {peers} peers (store: {store}) after {took_ms} ms";
+    /// A process said that it leaves, and neither the store nor enough peers could be told. It gets no calls, but its report is not acknowledged, and it sends another one.
+    5018 Warn DepartureNotKept { instance: String, peers: usize, took_ms: u64 } => "the departure of {instance} is kept by {peers} peers only after {took_ms} ms: not acknowledged";
+    /// A daemon that started knows which processes of its VM have left. From now on its target may get calls.
+    5019 Info DeparturesLearned { peers: usize, store: bool, processes: usize } => "{peers} peers (store: {store}) know of {processes} departures from this VM";
+    /// A process reported before the departures from its VM were known. It gets no calls until MP5019.
+    5020 Info TargetDeferred { instance: String } => "process {instance} gets no calls before the departures from this VM are known";
+
     /// The usable slots of the target were cut because its answers took much longer than their routes usually take, or because it rejected calls. They rise again as its answers allow. Written at most once a second with the cuts since the last line.
     5101 Warn PaceCut { cuts: u32, usable: u32, slots: u32 } => "usable slots cut {cuts} times, now {usable} of {slots}";
     /// All slots of the target are usable. Written at most once a second.
--- a/crates/medlarpoint_daemon/src/lib.rs
+++ b/crates/medlarpoint_daemon/src/lib.rs
@@ -14,6 +14,7 @@
 mod compression;
 mod control;
 mod daemon;
+mod departed;
 mod event;
 mod explain;
 mod handover;
--- a/crates/medlarpoint_daemon/src/peer.rs
+++ b/crates/medlarpoint_daemon/src/peer.rs
@@ -13,8 +13,8 @@
 use medlarpoint_config::{Distance, history};
 use medlarpoint_model::DataCentre;
 use medlarpoint_wire::{
-    DecodeError, EncodeError, PROTOCOL_VERSION, PullRequest, PullResponse, Record, Rollout,
-    Suspect, SyncRequest, SyncResponse, Tip, decode, encode,
+    DecodeError, Departures, EncodeError, PROTOCOL_VERSION, PullRequest, PullResponse, Record,
+    Rollout, Suspect, SyncRequest, SyncResponse, Tip, decode, encode,
 };
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
@@ -63,6 +63,13 @@
     Http(#[from] http::Error),
 }
 
+impl RequestError {
+    /// Returns whether the peer is of a release that does not know the request.
+    pub(crate) fn is_unknown_path(&self) -> bool {
+        matches!(self, Self::Status(StatusCode::NOT_FOUND))
+    }
+}
+
 /// Reason for which a control request of another daemon is rejected.
 #[derive(Debug, thiserror::Error)]
 enum Rejection {
@@ -194,6 +201,17 @@
     Ok(decode(&bytes)?)
 }
 
+/// Tells a peer of departures, which it keeps, and returns all that it knows of that VM.
+pub(crate) async fn departures(
+    shared: &Shared,
+    to: SocketAddr,
+    distance: Distance,
+    told: &Departures,
+) -> Result<Departures, RequestError> {
+    let bytes = request(shared, to, distance, "/departures", encode(told)?).await?;
+    Ok(decode(&bytes)?)
+}
+
 /// Serves control requests until the daemon closes.
 pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
     let connections = Arc::new(Semaphore::new(MAX_CONNECTIONS));
@@ -279,6 +297,10 @@
         }
         "/history" => handle_history(shared),
         "/suspects" => handle_suspects(shared),
+        "/departures" => {
+            let told = decode::<Departures>(&message)?;
+            Ok(encode(&shared.departed.merge(shared.now(), &told))?)
+        }
         "/rollouts" => Ok(encode(&rollouts::known(shared))?),
         _ => Err(Rejection::Path),
     }
--- a/crates/medlarpoint_daemon/src/platform_endpoints.rs
+++ b/crates/medlarpoint_daemon/src/platform_endpoints.rs
@@ -19,7 +19,7 @@
 use crate::event::Event;
 use crate::server::accept;
 use crate::state::Shared;
-use crate::target;
+use crate::target::{self, ReportError};
 
 /// Maximum time to wait for a request on an open connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -95,16 +95,15 @@
     let body = body.to_bytes();
     let (instance, result) = match message {
         report::Message::Heartbeat { instance } => {
-            let parsed = report::parse_heartbeat(&body).map_err(target::ReportError::from);
-            (instance, parsed.and_then(|beat| target::accept_heartbeat(&driver, instance, &beat)))
+            (instance, accept_heartbeat(&driver, instance, &body).await)
         }
         report::Message::Deregistration { instance } => {
-            let parsed = report::parse_deregistration(&body).map_err(target::ReportError::from);
-            (instance, parsed.map(|born_ms| target::deregister(&driver, instance, born_ms)))
+            (instance, deregister(&driver, instance, &body).await)
         }
     };
     match result {
         Ok(()) => respond(StatusCode::OK, report::ACCEPTED_BODY),
+        Err(ReportError::NotKept(_)) => respond(StatusCode::SERVICE_UNAVAILABLE, ""),
         Err(error) => {
             let (instance, reason) = (instance.to_owned(), error.to_string());
             driver.shared().emit(&Event::BadReport { instance, reason });
@@ -112,3 +111,17 @@
         }
     }
 }
+
+async fn accept_heartbeat(
+    driver: &Arc<Driver>,
+    instance: &str,
+    body: &[u8],
+) -> Result<(), ReportError> {
+    let heartbeat = report::parse_heartbeat(body)?;
+    target::accept_heartbeat(driver, instance, &heartbeat).await
+}
+
+async fn deregister(driver: &Arc<Driver>, instance: &str, body: &[u8]) -> Result<(), ReportError> {
+    let born_ms = report::parse_deregistration(body)?;
+    target::deregister(driver, instance, born_ms).await
+}
--- a/crates/medlarpoint_daemon/src/startup.rs
+++ b/crates/medlarpoint_daemon/src/startup.rs
@@ -14,6 +14,7 @@
 
 use crate::clock::jitter;
 use crate::control::Driver;
+use crate::departed::Learner;
 use crate::event::Event;
 use crate::settings::Source;
 use crate::state::{Shared, lock};
@@ -45,12 +46,14 @@
     Unreachable,
 }
 
-/// Catches up with the fleet, then marks the daemon as ready. Full jitter between
+/// Catches up with the fleet, then marks the daemon as ready, and learns which processes of
+/// its target have left. Full jitter between
 /// rounds spreads the load when many daemons restart at the same time.
 pub(crate) async fn catch_up(driver: Arc<Driver>) {
     let shared = Arc::clone(driver.shared());
     let mut wait = MIN_BACKOFF;
     let mut queried_at = None;
+    let mut learner = Learner::default();
     loop {
         let outcome = if should_query_store(&shared, queried_at) {
             let previous = queried_at.replace(shared.now());
@@ -58,8 +61,10 @@
         } else {
             peer_round(&driver).await
         };
+        learner.ask(&driver).await;
         if may_serve(shared.settings.options.source, outcome, shared.version()) {
             driver.set_ready();
+            learner.run(&driver).await;
             return;
         }
         let reason = match outcome {
--- a/crates/medlarpoint_daemon/src/state.rs
+++ b/crates/medlarpoint_daemon/src/state.rs
@@ -2,7 +2,7 @@
 //!
 //! Lock order: `control`, then `services`, then a service's split, then its picker, budgets
 //! or hedges, then `intake`, then `waiters`. `suspects`, `rollouts` and each lock of `quotas` are locked
-//! last. `target`, `target_run`, `deregistrations` and
+//! last. `target`, `target_run`, each lock of `departed` and
 //! `wait_estimator` are not held together with any other lock. No lock is held across
 //! an await except `claim_lease`, which lets one task at a time request a lease, and
 //! `target_check`, which lets one task at a time connect to the target.
@@ -16,7 +16,7 @@
 use indexmap::IndexMap;
 use medlarpoint_config::{Distance, History, Rejection, Replica, pull};
 use medlarpoint_membership::instance::Instance;
-use medlarpoint_membership::{Deregistrations, Detector, Freshness, Reporter, broadcast};
+use medlarpoint_membership::{Detector, Freshness, Reporter, broadcast};
 use medlarpoint_model::{Name, Snapshot, Version, Vm};
 use medlarpoint_platform::bounds::Bounds;
 use medlarpoint_platform::store::Client;
@@ -30,6 +30,7 @@
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
+use crate::departed;
 use crate::event::Event;
 use crate::inbound::{SavedResponse, Waiters};
 use crate::keep_alive::Connections;
@@ -207,8 +208,8 @@
     /// Time of the last connection to the target, on the local clock, that was not refused
     /// after another had broken. Locked while a task connects.
     pub(crate) target_check: tokio::sync::Mutex<Duration>,
-    /// Target processes that have deregistered.
-    pub(crate) deregistrations: Mutex<Deregistrations>,
+    /// Target processes that have deregistered or said in a report that they drain.
+    pub(crate) departed: departed::Memory,
     /// Lease to which new claims of idempotency keys are bound, and the time when it was
     /// granted. Locked while a new lease is requested.
     pub(crate) claim_lease: tokio::sync::Mutex<Option<(Lease, Duration)>>,
--- a/crates/medlarpoint_daemon/src/target.rs
+++ b/crates/medlarpoint_daemon/src/target.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use medlarpoint_api::Target;
+use medlarpoint_membership::departed::Process;
 use medlarpoint_membership::instance::{Effect, Instance, Report};
 use medlarpoint_platform::report::{Heartbeat, ParseError};
 use medlarpoint_wire::{Announcement, Readiness};
 
 use crate::clock::wall_ms;
 use crate::control::Driver;
+use crate::departed::{self, NotKept};
 use crate::event::Event;
 use crate::state::{Shared, TargetState, lock};
 use crate::target_end;
@@ -48,15 +50,44 @@
     Malformed(#[from] ParseError),
     #[error("there is no service {0} in the version in force: apply it first or check the name")]
     Service(medlarpoint_model::Name),
+    #[error(transparent)]
+    NotKept(#[from] NotKept),
 }
 
-/// Processes a heartbeat of a target. If the heartbeat says that the target is
-/// draining, no new work is handed over to it once this function returns.
-pub(crate) fn accept_heartbeat(
+/// Processes a heartbeat of a target. If the heartbeat says that the target is draining, no
+/// new work is handed over to it, also after a restart of this daemon, once this function
+/// returns.
+pub(crate) async fn accept_heartbeat(
     driver: &Arc<Driver>,
     instance: &str,
     heartbeat: &Heartbeat,
 ) -> Result<(), ReportError> {
+    let effect = apply_heartbeat(driver, instance, heartbeat)?;
+    let Heartbeat { born_ms, seq, draining, .. } = *heartbeat;
+    match (effect, draining) {
+        (Effect::Late, _) | (Effect::Unchanged | Effect::Replaced, false) => {}
+        (Effect::ReadinessChanged, false) => driver.shared().departed.on_return(instance, born_ms),
+        (Effect::Unchanged | Effect::Replaced | Effect::ReadinessChanged, true) => {
+            let process = Process { instance: instance.into(), born_ms, last_seq: Some(seq) };
+            depart(driver, process).await?;
+        }
+    }
+    Ok(())
+}
+
+/// Records the departure of a process and has others keep it.
+async fn depart(driver: &Driver, process: Process) -> Result<(), NotKept> {
+    let shared = driver.shared();
+    shared.departed.record(shared.now(), &shared.settings.options.vm, process.clone());
+    departed::keep(shared, process).await
+}
+
+/// Applies a heartbeat to the state of the target.
+fn apply_heartbeat(
+    driver: &Arc<Driver>,
+    instance: &str,
+    heartbeat: &Heartbeat,
+) -> Result<Effect, ReportError> {
     let shared = driver.shared();
     let is_configured = shared.reloadable.load().service.as_ref() == Some(&heartbeat.service);
     if !is_configured && shared.in_force.load().snapshot.service(&heartbeat.service).is_none() {
@@ -68,9 +99,9 @@
         seq: heartbeat.seq,
         draining: heartbeat.draining,
     };
-    if lock(&shared.deregistrations).contains(shared.now(), &report) {
+    if shared.departed.contains(shared.now(), &shared.settings.options.vm, &report) {
         shared.emit(&Event::LateReport { instance: instance.to_owned(), seq: heartbeat.seq });
-        return Ok(());
+        return Ok(Effect::Late);
     }
     let (effect, previous) = {
         let mut target = lock(&shared.target);
@@ -91,6 +122,9 @@
         Effect::Replaced => {
             let (service, slots) = (heartbeat.service.clone(), heartbeat.slots);
             shared.emit(&Event::TargetReplaced { service, instance: name(), slots });
+            if !shared.departed.is_learned() {
+                shared.emit(&Event::TargetDeferred { instance: name() });
+            }
             if let Some(previous) = &previous {
                 target_end::on_replaced(shared, previous);
             }
@@ -112,7 +146,7 @@
             publish(driver);
         }
     }
-    Ok(())
+    Ok(effect)
 }
 
 /// Replaces the state of the target with the contents of a heartbeat. The count of
@@ -141,11 +175,20 @@
     });
 }
 
-/// Processes the deregistration of a target. No new work is handed over to it once
-/// this function returns.
-pub(crate) fn deregister(driver: &Arc<Driver>, instance: &str, born_ms: Option<u64>) {
+/// Processes the deregistration of a target. No new work is handed over to it, also after a
+/// restart of this daemon, once this function returns.
+pub(crate) async fn deregister(
+    driver: &Arc<Driver>,
+    instance: &str,
+    born_ms: Option<u64>,
+) -> Result<(), ReportError> {
+    apply_deregistration(driver, instance, born_ms);
+    Ok(depart(driver, Process::deregistered(instance, born_ms, wall_ms())).await?)
+}
+
+/// Applies a deregistration to the state of the target.
+fn apply_deregistration(driver: &Arc<Driver>, instance: &str, born_ms: Option<u64>) {
     let shared = driver.shared();
-    lock(&shared.deregistrations).record(shared.now(), instance, born_ms, wall_ms());
     let has_left = {
         let mut target = lock(&shared.target);
         let current = target.as_mut().and_then(|target| target.instance.as_mut());
@@ -161,6 +204,27 @@
     }
 }
 
+/// Takes the target out of service if its process has left before this daemon started. Lets
+/// it get calls otherwise.
+pub(crate) fn on_departures_learned(driver: &Arc<Driver>) {
+    let shared = driver.shared();
+    let report = {
+        let target = lock(&shared.target);
+        let instance = target.as_ref().and_then(|target| target.instance.as_ref());
+        instance.map(|instance| instance.report().clone())
+    };
+    let Some(report) = report else {
+        return;
+    };
+    if shared.departed.contains(shared.now(), &shared.settings.options.vm, &report) {
+        let left = lock(&shared.target).as_mut().and_then(TargetState::leave);
+        if let Some(instance) = left {
+            shared.emit(&Event::TargetLeaving { instance });
+        }
+    }
+    publish(driver);
+}
+
 /// Processes the announcement of a target through the operators' API. An
 /// announcement that changes nothing has no effect.
 pub(crate) fn announce(driver: &Arc<Driver>, target: Target) -> Result<(), TargetError> {
@@ -227,7 +291,9 @@
         return;
     };
     let admission = rollouts::admit(driver, &state);
-    let draining = state.readiness == Readiness::Draining || !admission.may_serve;
+    // A process that reports to a daemon that has just started may have left before.
+    let is_held = state.instance.is_some() && !shared.departed.is_learned();
+    let draining = state.readiness == Readiness::Draining || !admission.may_serve || is_held;
     let actions = {
         let now = shared.now();
         let mut intake = lock(&shared.intake);
--- a/crates/medlarpoint_membership/src/lib.rs
+++ b/crates/medlarpoint_membership/src/lib.rs
@@ -7,7 +7,7 @@
 
 pub mod allocator;
 pub mod broadcast;
-mod deregistrations;
+pub mod departed;
 mod detector;
 mod dissemination;
 pub mod fallback;
@@ -21,7 +21,7 @@
 pub mod summaries;
 mod table;
 
-pub use deregistrations::Deregistrations;
+pub use departed::Departed;
 pub use detector::{Action, Detector, Event};
 pub use freshness::{Freshness, StoreRead};
 pub use member::Member;
--- a/crates/medlarpoint_wire/src/lib.rs
+++ b/crates/medlarpoint_wire/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod config;
 mod datagram;
+mod departure;
 mod frame;
 mod quota;
 mod record;
@@ -15,6 +16,7 @@
 
 pub use config::{PullRequest, PullResponse, Tip};
 pub use datagram::{Body, Gossip};
+pub use departure::{Departure, Departures};
 pub use frame::{
     DecodeError, EncodeError, Frame, MAX_DATAGRAM_BYTES, PROTOCOL_VERSION, decode, encode,
 };
