--- a/crates/medlarpoint_daemon/src/lib.rs
+++ b/crates/medlarpoint_daemon/src/lib.rs
@@ -8,6 +8,7 @@
 mod body;
 mod body_limit;
 mod call_identity;
+mod caller_body;
 mod claim;
 mod clock;
 mod commit;
--- a/crates/medlarpoint_daemon/src/lifecycle.rs
+++ b/crates/medlarpoint_daemon/src/lifecycle.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// Returns whether the daemon closes or has closed.
+    pub(crate) fn is_closed(&self) -> bool {
+        *self.closed.borrow()
+    }
+
     /// Waits until the daemon closes.
     pub(crate) async fn wait_closed(&self) {
         let mut closed = self.closed.subscribe();
--- a/crates/medlarpoint_daemon/src/outbound.rs
+++ b/crates/medlarpoint_daemon/src/outbound.rs
@@ -3,20 +3,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
-use hyper::body::{Body as _, Incoming};
 use medlarpoint_model::{Class, Name, Version, Workspace};
 use medlarpoint_platform::call;
 use medlarpoint_routing::{
-    Constraints, FailurePoint, IdempotencyKey, LARGE_MESSAGE_BYTES, Outcome, ResolvedRoute,
-    RouteTable,
+    Constraints, FailurePoint, IdempotencyKey, Outcome, ResolvedRoute, RouteTable,
 };
 
-use crate::body::{Body, Buffered, buffer};
-use crate::body_limit::Limiter;
+use crate::body::Body;
+use crate::caller_body::CallerBody;
 use crate::event::Event;
-use crate::held_body::{HeldBody, MAX_REPLAY_BYTES};
 use crate::outbound_call::{OutboundCall, Payload, Routed};
 use crate::outbound_response::{call_id, set_retry_after};
 use crate::state::{ServiceState, Shared, lock};
@@ -100,12 +96,11 @@
 
 /// Serves a call: routes it, sends it to a target and returns the response.
 ///
-/// A call that was started before its turn has no hyper body. `read_at` is the time at which
-/// a call was read that waited for its turn, on the local clock; its deadline counts from
-/// then.
+/// `read_at` is the time at which a call was read that waited for its turn, on the local
+/// clock; its deadline counts from then.
 pub(crate) async fn serve(
     shared: Arc<Shared>,
-    mut request: Request<Option<Incoming>>,
+    mut request: Request<CallerBody>,
     read_at: Option<Duration>,
 ) -> Response<Body> {
     let _guard = shared.lifecycle.track_call();
@@ -181,7 +176,7 @@
     shared: &Arc<Shared>,
     resolved: Arc<ResolvedRoute>,
     workspace: Option<Arc<Workspace>>,
-    request: Request<Option<Incoming>>,
+    request: Request<CallerBody>,
     caller: &call::CallerInfo,
     read_at: Option<Duration>,
 ) -> Response<Body> {
@@ -198,12 +193,11 @@
         return reject(RoutingError::NoService);
     };
     let (mut parts, body) = request.into_parts();
-    if body.as_ref().map_or(0, |body| body.size_hint().lower())
-        > shared.settings.options.limits.body_bytes
-    {
+    let limits = &shared.settings.options.limits;
+    if body.min_bytes() > limits.body_bytes {
         return reject(RoutingError::BodySize);
     }
-    let Some(payload) = accept_body(shared, body).await else {
+    let Some(payload) = body.accept(limits).await else {
         return reject(RoutingError::BadBody);
     };
     header::strip_hop_by_hop(&mut parts.headers);
@@ -257,32 +251,6 @@
     admitted.settle(shared, call.run().await)
 }
 
-/// Buffers a small request body; holds a large one until a target has room for it.
-/// Returns `None` if a body that is read here is truncated or too slow.
-async fn accept_body(shared: &Shared, body: Option<Incoming>) -> Option<Payload> {
-    let Some(body) = body.filter(|body| !body.is_end_stream()) else {
-        return Some(Payload::Buffered(Bytes::new()));
-    };
-    let limits = &shared.settings.options.limits;
-    let max_pause = Duration::from_millis(limits.body_pause_ms);
-    if body.size_hint().lower() >= LARGE_MESSAGE_BYTES as u64 {
-        let limiter = Limiter::new(limits.body_bytes, max_pause);
-        return Some(Payload::Held(HeldBody::new(Body::limited(Bytes::new(), body, limiter))));
-    }
-    match tokio::time::timeout(max_pause, buffer(body, MAX_REPLAY_BYTES)).await {
-        Ok(Ok(Buffered::Complete(body))) if body.len() < LARGE_MESSAGE_BYTES => {
-            Some(Payload::Buffered(body))
-        }
-        Ok(Ok(Buffered::Complete(body))) => Some(Payload::Held(HeldBody::new(Body::full(body)))),
-        Ok(Ok(Buffered::Partial(prefix, rest))) => {
-            let max_rest = limits.body_bytes.saturating_sub(prefix.len() as u64);
-            let limiter = Limiter::new(max_rest, max_pause);
-            Some(Payload::Held(HeldBody::new(Body::limited(prefix, rest, limiter))))
-        }
-        Ok(Err(_)) | Err(_) => None,
-    }
-}
-
 /// Credits the retry and hedge budgets for one call, limited by the policy and by
 /// the retry ratio that the installation allows the fleet.
 fn credit_budgets(shared: &Shared, service: &ServiceState, resolved: &ResolvedRoute) {
--- a/crates/medlarpoint_daemon/src/pipeline/bounds.rs
+++ b/crates/medlarpoint_daemon/src/pipeline/bounds.rs
@@ -13,8 +13,8 @@
     taken: u64,
     /// Number of requests of which the response is complete.
     finished: u64,
-    /// Value of `finished` when the limit on early calls of the process was reached.
-    full_at: Option<u64>,
+    /// Value of `finished` when the reading was paused.
+    paused_at: Option<u64>,
 }
 
 impl Bounds {
@@ -22,7 +22,7 @@
     /// are read ahead.
     pub(crate) fn new(max_unfinished: usize) -> Self {
         let max_unfinished = max_unfinished as u64;
-        Self { max_unfinished, framed: 0, taken: 0, finished: 0, full_at: None }
+        Self { max_unfinished, framed: 0, taken: 0, finished: 0, paused_at: None }
     }
 
     /// Records a request that the framing found.
@@ -40,10 +40,9 @@
         self.finished += 1;
     }
 
-    /// Records that the process has too many early calls. No request is looked for until a
-    /// further response of this connection is complete.
-    pub(crate) fn on_full(&mut self) {
-        self.full_at = Some(self.finished);
+    /// Looks for no request until a further response of this connection is complete.
+    pub(crate) fn pause(&mut self) {
+        self.paused_at = Some(self.finished);
     }
 
     /// Returns the number of requests that the framing found.
@@ -59,7 +58,7 @@
     /// Returns whether a further request is looked for.
     pub(crate) fn may_frame(&self) -> bool {
         let unfinished = self.unfinished();
-        unfinished == 0 || unfinished < self.max_unfinished && self.full_at != Some(self.finished)
+        unfinished == 0 || unfinished < self.max_unfinished && self.paused_at != Some(self.finished)
     }
 
     /// Returns whether more bytes are read from the socket while `unread_bytes` are kept.
--- a/crates/medlarpoint_daemon/src/pipeline/bounds/tests.rs
+++ b/crates/medlarpoint_daemon/src/pipeline/bounds/tests.rs
@@ -24,11 +24,11 @@
     let mut bounds = Bounds::new(8);
     bounds.on_framed();
     bounds.on_framed();
-    bounds.on_full();
+    bounds.pause();
     assert!(!bounds.may_frame());
     bounds.on_finished();
     assert!(bounds.may_frame());
-    bounds.on_full();
+    bounds.pause();
     assert!(!bounds.may_frame());
     bounds.on_finished();
     assert!(bounds.may_frame(), "nothing is left that could finish");
--- a/crates/medlarpoint_daemon/src/pipeline/early_call.rs
+++ b/crates/medlarpoint_daemon/src/pipeline/early_call.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use http::{Request, Response};
-use hyper::body::Incoming;
 use medlarpoint_platform::call;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinHandle;
 
 use super::framing::Head;
 use crate::body::Body;
+use crate::caller_body::CallerBody;
 use crate::event::Event;
 use crate::outbound;
 use crate::outbound_response::call_id;
@@ -25,9 +25,7 @@
 pub enum CancelReason {
     /// The connection ended: the caller closed it, or the HTTP library did.
     ConnectionEnded,
-    /// An earlier response closes the connection.
-    ConnectionClosed,
-    /// The daemon shuts down.
+    /// The daemon closes: the time for its shutdown is over.
     Stopping,
     /// The HTTP library has read another request than the framing.
     Mismatch,
@@ -122,8 +120,8 @@
 }
 
 impl Head {
-    fn to_request(&self) -> Request<Option<Incoming>> {
-        let mut request = Request::new(None);
+    fn to_request(&self) -> Request<CallerBody> {
+        let mut request = Request::new(CallerBody::empty());
         request.method_mut().clone_from(&self.method);
         request.uri_mut().clone_from(&self.uri);
         request.headers_mut().clone_from(&self.headers);
--- a/crates/medlarpoint_daemon/src/pipeline/read_ahead.rs
+++ b/crates/medlarpoint_daemon/src/pipeline/read_ahead.rs
@@ -68,6 +68,8 @@
     pub(crate) read_at: Option<Duration>,
     /// The call, if it was started.
     pub(crate) early_call: Option<Box<EarlyCall>>,
+    /// Whether every byte of the request's body has arrived.
+    pub(crate) body_arrived: bool,
 }
 
 impl fmt::Debug for ReadAhead {
@@ -118,10 +120,8 @@
         F: Future<Output = ()>,
     {
         let is_closed = closed.poll(cx);
-        if self.shared.lifecycle.has_stopped_accepting() {
-            self.stop(CancelReason::Stopping);
-        }
         let mut state = lock(&self.state);
+        state.starts_early &= !self.shared.lifecycle.has_stopped_accepting();
         self.read(&mut state, cx);
         if (is_closed || state.end.is_some()) && state.bounds.unfinished() > 0 {
             return Poll::Ready(());
@@ -162,11 +162,20 @@
     }
 
     /// Begins the turn of a request that the HTTP library has read.
+    ///
+    /// A request whose body is left unread ends the connection. While parts of its body are
+    /// missing, no call behind it is started.
     pub(crate) fn begin_turn<B>(&self, request: &Request<B>) -> Turn {
         let mut state = lock(&self.state);
         state.bounds.on_taken();
-        let Some(waiting) = state.waiting.pop_front() else {
-            return Turn { read_at: None, early_call: None };
+        let waiting = state.waiting.pop_front();
+        let body_arrived =
+            state.framing.is_on() && (state.framing.body_left() == 0 || !state.waiting.is_empty());
+        if !body_arrived {
+            state.bounds.pause();
+        }
+        let Some(waiting) = waiting else {
+            return Turn { read_at: None, early_call: None, body_arrived };
         };
         let WaitingRequest { read_at, early_call } = waiting;
         match early_call {
@@ -175,9 +184,9 @@
                 state.cancel(CancelReason::Mismatch);
                 state.framing.turn_off();
                 self.log_off(&state, OffReason::Mismatch);
-                Turn { read_at, early_call: None }
+                Turn { read_at, early_call: None, body_arrived }
             }
-            early_call => Turn { read_at, early_call },
+            early_call => Turn { read_at, early_call, body_arrived },
         }
     }
 
@@ -186,8 +195,21 @@
         lock(&self.state).bounds.on_finished();
     }
 
-    /// Cancels the calls that wait for their turn, and starts no more.
-    pub(crate) fn stop(&self, reason: CancelReason) {
+    /// Returns whether calls that were started wait for their turn. The connection has to stay
+    /// open until they are answered.
+    pub(crate) fn has_started(&self) -> bool {
+        lock(&self.state).waiting.iter().any(|waiting| waiting.early_call.is_some())
+    }
+
+    /// Starts no more calls before their turn.
+    pub(crate) fn start_no_more(&self) {
+        lock(&self.state).starts_early = false;
+    }
+
+    /// Cancels the calls that wait for their turn: the connection has ended.
+    pub(crate) fn close(&self) {
+        let is_closed = self.shared.lifecycle.is_closed();
+        let reason = if is_closed { CancelReason::Stopping } else { CancelReason::ConnectionEnded };
         lock(&self.state).cancel(reason);
     }
 
@@ -261,7 +283,7 @@
                 Start::Started(call) => Some(call),
                 Start::NotRepeatable => None,
                 Start::Full => {
-                    state.bounds.on_full();
+                    state.bounds.pause();
                     None
                 }
             });
--- a/crates/medlarpoint_daemon/src/server.rs
+++ b/crates/medlarpoint_daemon/src/server.rs
@@ -19,8 +19,9 @@
 use tokio::sync::{Notify, Semaphore};
 
 use crate::body::Body;
+use crate::caller_body::CallerBody;
 use crate::event::Event;
-use crate::pipeline::{CancelReason, ClosedByCaller, ReadAhead, TurnBody};
+use crate::pipeline::{ClosedByCaller, ReadAhead, TurnBody};
 use crate::settings::LimitOptions;
 use crate::state::Shared;
 use crate::{inbound, outbound};
@@ -106,20 +107,25 @@
 /// Serves a call and closes the caller's connection after it if too many are idle.
 async fn serve_call(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
     let version = request.version();
-    let mut response = outbound::serve(Arc::clone(&shared), request.map(Some), None).await;
-    set_close(&shared, version, &mut response);
+    let request = request.map(CallerBody::Incoming);
+    let mut response = outbound::serve(Arc::clone(&shared), request, None).await;
+    if should_close(&shared, version) {
+        set_close(&mut response);
+    }
     response
 }
 
-/// Makes a response close the caller's connection if too many are idle. Returns whether it
-/// does.
-fn set_close(shared: &Shared, version: Version, response: &mut Response<Body>) -> bool {
-    let keeps_alive = shared.caller_connections.keeps_alive(shared.lifecycle.pending_calls());
-    let closes = version == Version::HTTP_11 && !keeps_alive;
-    if closes {
-        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-    }
-    closes
+/// Returns whether the connection of a caller is to be closed: too many are idle, or the
+/// daemon stops. The HTTP library ends connections of other versions of HTTP.
+fn should_close(shared: &Shared, version: Version) -> bool {
+    let pending_calls = shared.lifecycle.pending_calls();
+    let keeps_alive = shared.caller_connections.keeps_alive(pending_calls);
+    version == Version::HTTP_11 && (shared.lifecycle.has_stopped_accepting() || !keeps_alive)
+}
+
+/// Makes a response the last one of its connection.
+fn set_close(response: &mut Response<Body>) {
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
 }
 
 /// Serves a call on a connection with read-ahead. The call may run already.
@@ -134,13 +140,24 @@
         Some(call) => call.response().await,
         None => None,
     };
-    let mut response = match early {
-        Some(response) => response,
-        None => outbound::serve(Arc::clone(&shared), request.map(Some), turn.read_at).await,
+    let mut response = if let Some(response) = early {
+        response
+    } else {
+        let (parts, body) = request.into_parts();
+        // The HTTP library would end the connection behind a body that was not read.
+        let body = if turn.body_arrived {
+            CallerBody::read(body).await
+        } else {
+            CallerBody::Incoming(body)
+        };
+        let request = Request::from_parts(parts, body);
+        outbound::serve(Arc::clone(&shared), request, turn.read_at).await
     };
-    if set_close(&shared, version, &mut response) {
+    // Calls that were handed over are answered before the connection closes.
+    if should_close(&shared, version) && !read_ahead.has_started() {
+        set_close(&mut response);
         // The caller gets no response to later requests on this connection.
-        read_ahead.stop(CancelReason::ConnectionClosed);
+        read_ahead.start_no_more();
     }
     response.map(|body| TurnBody::new(body, read_ahead))
 }
@@ -159,13 +176,14 @@
         };
         let service = service(Arc::clone(shared), Arc::clone(&request_received), serve);
         let connection = builder.serve_connection(TokioIo::new(stream), service);
-        let mut closed = ClosedByCaller::new(read_ahead.closed_by_caller());
-        drive(shared, connection, &request_received, |cx| read_ahead.poll(cx, &mut closed)).await;
-        read_ahead.stop(CancelReason::ConnectionEnded);
+        let closed = ClosedByCaller::new(read_ahead.closed_by_caller());
+        let reader = CallerReader { read_ahead: &read_ahead, closed };
+        drive(shared, connection, &request_received, reader).await;
+        read_ahead.close();
     } else {
         let service = service(Arc::clone(shared), Arc::clone(&request_received), serve_call);
         let connection = builder.serve_connection(TokioIo::new(stream), service);
-        drive(shared, connection, &request_received, no_read_ahead).await;
+        drive(shared, connection, &request_received, NoReader).await;
     }
 }
 
@@ -197,7 +215,7 @@
         .header_read_timeout(Duration::from_millis(limits.head_timeout_ms))
         .max_buf_size(limits.head_bytes);
     let connection = builder.serve_connection(TokioIo::new(without_delay(stream)), service);
-    drive(shared, connection, &request_received, no_read_ahead).await;
+    drive(shared, connection, &request_received, NoReader).await;
 }
 
 /// Disables the delay of small segments on a stream.
@@ -207,19 +225,53 @@
     stream
 }
 
+/// Reads the requests of a connection ahead of the HTTP library.
+trait Reader {
+    /// Reads. Completes to end the connection.
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<()>;
+
+    /// Returns whether calls that were started wait for their turn.
+    fn has_started(&self) -> bool;
+}
+
 /// Reader of a connection without read-ahead.
-fn no_read_ahead(_: &mut Context<'_>) -> Poll<()> {
-    Poll::Pending
+struct NoReader;
+
+impl Reader for NoReader {
+    fn poll(&mut self, _: &mut Context<'_>) -> Poll<()> {
+        Poll::Pending
+    }
+
+    fn has_started(&self) -> bool {
+        false
+    }
+}
+
+/// Reader of the connection of a caller that may send requests before the earlier ones are
+/// answered.
+struct CallerReader<'a, F> {
+    read_ahead: &'a ReadAhead,
+    closed: ClosedByCaller<F>,
+}
+
+impl<F: Future<Output = ()>> Reader for CallerReader<'_, F> {
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        self.read_ahead.poll(cx, &mut self.closed)
+    }
+
+    fn has_started(&self) -> bool {
+        self.read_ahead.has_started()
+    }
 }
 
-/// Runs a connection until it ends or the daemon closes. Once the daemon stops
-/// accepting calls, the connection ends after its current request. `read_ahead` is polled
-/// after the connection, and ends it by completing.
+/// Runs a connection until it ends or the daemon closes. Once the daemon stops accepting
+/// calls, the connection ends after its current request and the calls that were started
+/// behind it. `reader` is polled after the connection.
 async fn drive<C: GracefulConnection>(
     shared: &Arc<Shared>,
     connection: C,
     request_received: &Notify,
-    mut read_ahead: impl FnMut(&mut Context<'_>) -> Poll<()>,
+    mut reader: impl Reader,
 ) {
     tokio::pin!(connection);
     let last_request = async {
@@ -233,12 +285,26 @@
     };
     tokio::select! {
         // The peer notices a broken connection itself.
-        () = poll_fn(|cx| poll_connection(connection.as_mut(), &mut read_ahead, cx)) => return,
-        () = last_request => connection.as_mut().graceful_shutdown(),
+        () = poll_fn(|cx| poll_connection(connection.as_mut(), &mut reader, cx)) => return,
+        () = last_request => {}
         () = shared.lifecycle.wait_closed() => return,
     }
+    let mut is_shut_down = false;
+    let rest = poll_fn(|cx| {
+        loop {
+            if !is_shut_down && !reader.has_started() {
+                connection.as_mut().graceful_shutdown();
+                is_shut_down = true;
+            }
+            let polled = poll_connection(connection.as_mut(), &mut reader, cx);
+            // The turn of the last call that was started may have begun.
+            if polled.is_ready() || is_shut_down || reader.has_started() {
+                return polled;
+            }
+        }
+    });
     tokio::select! {
-        () = poll_fn(|cx| poll_connection(connection.as_mut(), &mut read_ahead, cx)) => {}
+        () = rest => {}
         () = shared.lifecycle.wait_closed() => {}
     }
 }
@@ -246,11 +312,11 @@
 /// Polls a connection, then its reader. Completes once either has ended.
 fn poll_connection<C: Future>(
     connection: Pin<&mut C>,
-    read_ahead: &mut impl FnMut(&mut Context<'_>) -> Poll<()>,
+    reader: &mut impl Reader,
     cx: &mut Context<'_>,
 ) -> Poll<()> {
     if connection.poll(cx).is_ready() {
         return Poll::Ready(());
     }
-    read_ahead(cx)
+    reader.poll(cx)
 }
