--- a/crates/medlarpoint_config/src/proposal.rs
+++ b/crates/medlarpoint_config/src/proposal.rs
@@ -1,6 +1,6 @@
 //! Changes proposed by an operator, before they are committed.
 
-use medlarpoint_model::{Change, CommitId, Entry, Key, Snapshot, Version};
+use medlarpoint_model::{Change, CommitId, Entry, Key, Resource, Snapshot, Version, Workspace};
 use serde::{Deserialize, Serialize};
 
 /// Condition on a resource under which an edit may be made.
@@ -58,7 +58,8 @@
         })
     }
 
-    /// Returns the changes that alter `base`, leaving out those without effect.
+    /// Returns the changes that alter `base`, leaving out those without effect. Deleting the
+    /// last workspace leaves [`Workspace::placeholder`].
     pub(crate) fn effective(&self, base: &Snapshot) -> Vec<Change> {
         let alters = |change: &Change| match change {
             Change::Put(resource) => {
@@ -66,6 +67,23 @@
             }
             Change::Delete(key) => base.entries.contains_key(key),
         };
-        self.edits.iter().map(|edit| edit.change.clone()).filter(alters).collect()
+        let edits = self.edits.iter().map(|edit| edit.change.clone());
+        let mut changes: Vec<Change> = edits.filter(alters).collect();
+        changes.extend(keep_closed(base, &changes));
+        changes
     }
 }
+
+/// Returns the change that keeps callers without a key out if `changes` delete the last
+/// workspace. Deleting [`Workspace::placeholder`] itself lets them in.
+fn keep_closed(base: &Snapshot, changes: &[Change]) -> Option<Change> {
+    let placeholder = Resource::Workspace(Workspace::placeholder());
+    let key = placeholder.key();
+    let is_last = base.workspaces().next().is_some()
+        && base.edit(changes).workspaces().next().is_none()
+        && !changes.iter().any(|change| change.key() == key);
+    is_last.then_some(Change::Put(placeholder))
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/medlarpoint_daemon/src/workspace.rs
+++ b/crates/medlarpoint_daemon/src/workspace.rs
@@ -93,7 +93,8 @@
 /// Reports how the keys of the version in force differ from those of the previous one.
 pub(crate) fn report_key_changes(shared: &Shared, previous: &InForce, in_force: &InForce) {
     let version = in_force.snapshot.version;
-    let workspaces = in_force.snapshot.workspaces().count();
+    let named = in_force.snapshot.workspaces().filter(|workspace| !workspace.is_placeholder());
+    let workspaces = named.count();
     metrics::gauge!("medlarpoint_workspaces").set(workspaces as f64);
     let added = in_force.keys.added_since(&previous.keys);
     let removed = previous.keys.added_since(&in_force.keys);
--- a/crates/medlarpoint_model/src/snapshot.rs
+++ b/crates/medlarpoint_model/src/snapshot.rs
@@ -125,7 +125,8 @@
         })
     }
 
-    /// Returns the workspaces in key order.
+    /// Returns the workspaces in key order. Callers need a key if there is any, also if it is
+    /// [`Workspace::placeholder`].
     pub fn workspaces(&self) -> impl Iterator<Item = &Workspace> {
         self.entries.values().filter_map(|entry| match &entry.resource {
             Resource::Workspace(workspace) => Some(workspace),
--- a/crates/medlarpoint_model/src/workspace.rs
+++ b/crates/medlarpoint_model/src/workspace.rs
@@ -27,6 +27,23 @@
     pub quota: Option<Quota>,
 }
 
+/// Name of the workspace that stands for an empty list of workspaces.
+const PLACEHOLDER: &str = "none";
+
+impl Workspace {
+    /// Returns the workspace that stands for an empty list of workspaces. It has no keys, so
+    /// that callers need a key and none is valid; a version without any workspace needs none.
+    pub fn placeholder() -> Self {
+        let name = PLACEHOLDER.parse().expect("a valid literal");
+        Self { name, keys: Vec::new(), priority: None, quota: None }
+    }
+
+    /// Returns whether the workspace stands for an empty list.
+    pub fn is_placeholder(&self) -> bool {
+        self.name.as_str() == PLACEHOLDER && self.keys.is_empty()
+    }
+}
+
 /// Limit on the calls of a workspace over all daemons together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
