--- a/crates/medlarpoint_daemon/src/handover.rs
+++ b/crates/medlarpoint_daemon/src/handover.rs
@@ -14,7 +14,7 @@
 use crate::header;
 use crate::inbound::{InFlightAttempt, SavedResponse, load, respond, set_leaving};
 use crate::outbound_response::call_id;
-use crate::pool::{ExchangeError, PooledConnection};
+use crate::pool::{Demand, ExchangeError, PooledConnection};
 use crate::state::{Shared, TargetState, lock};
 use crate::target_end::HandedOver;
 use crate::{call_identity, shaped_body, target_end, target_response, workspace};
@@ -63,7 +63,8 @@
         Ok(handed_over) => handed_over,
         Err(retry_after) => return reject_suspect(&shared, in_flight, fingerprint, retry_after),
     };
-    let exchange = shared.target_pool.exchange(target.address, request, info.key.is_none());
+    let demand = Demand { repeatable: info.key.is_none(), id: id.clone() };
+    let exchange = shared.target_pool.exchange(target.address, request, &demand);
     let result = tokio::time::timeout(time_left, exchange).await;
     let (response, connection) = match result {
         Ok(Ok(exchanged)) => exchanged,
@@ -87,17 +88,13 @@
     if let Some(load) = call::parse_load(&parts.headers) {
         shared.slowdown.record(shared.now(), load.pace_percent);
     }
-    let class = match &id {
-        Some(id) => call::classify_response(parts.status, &parts.headers, id),
-        None if is_shed(&parts) => ResponseClass::NotRun,
-        None => ResponseClass::Ran,
-    };
+    let class = classify(&parts, id.as_ref(), &connection);
     target_response::observe(&shared, &target, class, &parts.headers);
     match class {
         ResponseClass::Ran => handed_over.answer(),
         ResponseClass::NotRun | ResponseClass::OtherInstance => {
             handed_over.withdraw();
-            discard(incoming, connection).await;
+            discard(incoming, connection, id).await;
             let is_same_process = class == ResponseClass::NotRun;
             let completion =
                 if is_same_process { Completion::Rejected } else { Completion::NotRun };
@@ -131,11 +128,28 @@
     }
 }
 
-/// Reads the rest of a response that is not passed on, so that its connection can be used
+/// Classifies the response to the call with an id. Calls without one are those of our own
+/// interface.
+fn classify(
+    parts: &http::response::Parts,
+    id: Option<&HeaderValue>,
+    connection: &PooledConnection,
+) -> ResponseClass {
+    match id {
+        Some(id) => {
+            let is_first = !connection.is_reused();
+            call::classify_response(parts.status, &parts.headers, id, is_first)
+        }
+        None if is_shed(parts) => ResponseClass::NotRun,
+        None => ResponseClass::Ran,
+    }
+}
+
+/// Reads the rest of a rejection of the call with an id, so that its connection can be used
 /// again.
-async fn discard(incoming: Incoming, connection: PooledConnection) {
+async fn discard(incoming: Incoming, connection: PooledConnection, id: Option<HeaderValue>) {
     if buffer(incoming, MAX_BUFFERED_BYTES).await.is_ok() {
-        connection.release();
+        connection.release_rejected(id);
     }
 }
 
--- a/crates/medlarpoint_daemon/src/idle.rs
+++ b/crates/medlarpoint_daemon/src/idle.rs
@@ -66,12 +66,20 @@
         }
     }
 
-    /// Takes the connection that was used last, if it has been idle for less than
-    /// `max_idle_time`.
-    pub(crate) fn take(&mut self, now: Instant, max_idle_time: Duration) -> Option<T> {
-        while let Some(entry) = self.entries.pop() {
-            if entry.idle_time(now) < max_idle_time.min(entry.reuse_limit) {
-                return Some(entry.connection);
+    /// Takes the connection that was used last among those that are suitable and have been
+    /// idle for less than `max_idle_time`. Closes those that were idle for longer on the way.
+    pub(crate) fn take(
+        &mut self,
+        now: Instant,
+        max_idle_time: Duration,
+        is_suitable: impl Fn(&T) -> bool,
+    ) -> Option<T> {
+        for index in (0..self.entries.len()).rev() {
+            let entry = &self.entries[index];
+            if entry.idle_time(now) >= max_idle_time.min(entry.reuse_limit) {
+                self.entries.remove(index);
+            } else if is_suitable(&entry.connection) {
+                return Some(self.entries.remove(index).connection);
             }
         }
         None
--- a/crates/medlarpoint_daemon/src/idle/tests.rs
+++ b/crates/medlarpoint_daemon/src/idle/tests.rs
@@ -25,7 +25,7 @@
     let mut now = start;
     for _ in 0..20 {
         now += Duration::from_millis(100);
-        let connection = stack.take(now, IDLE_TIMEOUT).expect("one is idle");
+        let connection = stack.take(now, IDLE_TIMEOUT, |_| true).expect("one is idle");
         stack.push(now, connection, IDLE_TIMEOUT);
         stack.evict(now, |_| false);
     }
@@ -38,7 +38,7 @@
     let mut stack = burst(Retention::PEER, start, 3);
     let later = start + IDLE_TIMEOUT / 2;
     stack.evict(later, |_| false);
-    assert_eq!(stack.take(later, IDLE_TIMEOUT), Some(2));
+    assert_eq!(stack.take(later, IDLE_TIMEOUT, |_| true), Some(2));
     assert!(stack.is_empty());
 }
 
@@ -57,7 +57,7 @@
     let start = Instant::now();
     let mut stack = burst(Retention::PEER, start, 3);
     stack.evict(start + Duration::from_secs(5), |connection| *connection == 2);
-    assert_eq!(stack.take(start + Duration::from_secs(5), IDLE_TIMEOUT), Some(1));
+    assert_eq!(stack.take(start + Duration::from_secs(5), IDLE_TIMEOUT, |_| true), Some(1));
 }
 
 #[test]
@@ -65,5 +65,14 @@
     let start = Instant::now();
     let mut stack = Stack::new(Retention::TARGET);
     stack.push(start, 1, Duration::from_secs(1));
-    assert_eq!(stack.take(start + Duration::from_secs(1), IDLE_TIMEOUT), None);
+    assert_eq!(stack.take(start + Duration::from_secs(1), IDLE_TIMEOUT, |_| true), None);
+}
+
+#[test]
+fn an_unsuitable_connection_is_passed_over_and_kept() {
+    let start = Instant::now();
+    let mut stack = burst(Retention::TARGET, start, 3);
+    assert_eq!(stack.take(start, IDLE_TIMEOUT, |connection| *connection == 1), Some(1));
+    assert_eq!(stack.take(start, IDLE_TIMEOUT, |connection| *connection == 1), None);
+    assert_eq!(len(&stack), 2);
 }
--- a/crates/medlarpoint_daemon/src/outbound_call.rs
+++ b/crates/medlarpoint_daemon/src/outbound_call.rs
@@ -22,7 +22,7 @@
 use crate::event::Event;
 use crate::held_body::{HeldBody, announce};
 use crate::outbound_response::{call_id, error_response};
-use crate::pool::{ExchangeError, Pool};
+use crate::pool::{Demand, ExchangeError, Pool};
 use crate::state::{ServiceState, Shared, lock};
 use crate::target_selector::TargetSelector;
 use crate::{call_identity, header, inbound, rollouts};
@@ -457,7 +457,8 @@
     request: Request<Body>,
     repeatable: bool,
 ) -> Result<Response<Body>, ExchangeError> {
-    let (response, connection) = pool.exchange(address, request, repeatable).await?;
+    let demand = Demand { repeatable, id: None };
+    let (response, connection) = pool.exchange(address, request, &demand).await?;
     let (parts, incoming) = response.into_parts();
     let body = match buffer(incoming, MAX_BUFFERED_BYTES).await {
         Ok(Buffered::Complete(body)) => {
--- a/crates/medlarpoint_daemon/src/pool.rs
+++ b/crates/medlarpoint_daemon/src/pool.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::Request;
+use http::{HeaderValue, Request};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -36,14 +36,45 @@
 /// Limit on the time to find out whether an address refuses connections.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Limit on the rejections that a connection carries before it is closed.
+const MAX_REJECTIONS: usize = 64;
+
 /// Idle connections by address.
 #[derive(Debug)]
 pub(crate) struct Pool {
     retention: Retention,
-    idle: Mutex<HashMap<SocketAddr, idle::Stack<SendRequest<Body>>>>,
+    idle: Mutex<HashMap<SocketAddr, idle::Stack<Connection>>>,
     partition: Partition,
 }
 
+/// A connection with what it has carried.
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Body>,
+    /// Whether the connection has carried a request.
+    is_used: bool,
+    /// Ids of the calls that were rejected on the connection. The other end may write a
+    /// rejection once more, so that none of them is sent on the connection again.
+    ///
+    /// Invariant: there are at most [`MAX_REJECTIONS`].
+    rejected: Vec<HeaderValue>,
+}
+
+impl Connection {
+    fn new(sender: SendRequest<Body>) -> Self {
+        Self { sender, is_used: false, rejected: Vec::new() }
+    }
+}
+
+/// What a request asks of the connection that carries it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Demand {
+    /// Whether the request may be repeated if the connection turns out to be broken.
+    pub(crate) repeatable: bool,
+    /// Id of the call, if its response has to name it.
+    pub(crate) id: Option<HeaderValue>,
+}
+
 /// Reason why a connection could not be opened.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum ConnectError {
@@ -78,17 +109,38 @@
 pub(crate) struct PooledConnection {
     pool: Arc<Pool>,
     address: SocketAddr,
-    sender: SendRequest<Body>,
+    connection: Connection,
     reuse_limit: Duration,
 }
 
 impl PooledConnection {
+    /// Returns whether the connection had carried another request before. Its other end may
+    /// have written the response to that one again.
+    pub(crate) fn is_reused(&self) -> bool {
+        self.connection.is_used
+    }
+
     /// Returns the connection to the pool after a complete exchange.
-    pub(crate) fn release(self) {
+    pub(crate) fn release(mut self) {
+        self.connection.is_used = true;
+        self.keep();
+    }
+
+    /// Keeps the connection for a later request.
+    fn keep(self) {
         let retention = self.pool.retention;
         let mut idle = self.pool.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let stack = idle.entry(self.address).or_insert_with(|| idle::Stack::new(retention));
-        stack.push(Instant::now(), self.sender, self.reuse_limit);
+        stack.push(Instant::now(), self.connection, self.reuse_limit);
+    }
+
+    /// Returns the connection to the pool after a call was rejected. The call with this id is
+    /// not sent on it again.
+    pub(crate) fn release_rejected(mut self, id: Option<HeaderValue>) {
+        if self.connection.rejected.len() < MAX_REJECTIONS {
+            self.connection.rejected.extend(id);
+            self.release();
+        }
     }
 }
 
@@ -107,20 +159,19 @@
         self: &Arc<Self>,
         address: SocketAddr,
         mut request: Request<Body>,
-        repeatable: bool,
+        demand: &Demand,
     ) -> Result<(http::Response<Incoming>, PooledConnection), ExchangeError> {
-        let max_idle_time = if repeatable { IDLE_TIMEOUT } else { MAX_IDLE_TIME_NOT_REPEATABLE };
-        while let Some(mut sender) = self.take_idle(address, max_idle_time) {
+        while let Some(mut connection) = self.take_idle(address, demand) {
             if self.partition.is_unreachable(address) {
                 // A connection that is open when the network partitions gets no response.
                 std::future::pending::<()>().await;
             }
-            if sender.ready().await.is_err() {
+            if connection.sender.ready().await.is_err() {
                 continue;
             }
-            match sender.try_send_request(request).await {
+            match connection.sender.try_send_request(request).await {
                 Ok(response) => {
-                    let connection = self.pooled(address, sender, &response);
+                    let connection = self.pooled(address, connection, &response);
                     return Ok((response, connection));
                 }
                 Err(mut error) => match error.take_message() {
@@ -140,8 +191,9 @@
         address: SocketAddr,
         request: Request<Bytes>,
     ) -> Result<(http::Response<Incoming>, PooledConnection), ExchangeError> {
-        if let Some(sender) = self.take_idle(address, IDLE_TIMEOUT) {
-            let exchange = self.exchange_on(address, sender, request.clone().map(Body::full));
+        let demand = Demand { repeatable: true, id: None };
+        if let Some(connection) = self.take_idle(address, &demand) {
+            let exchange = self.exchange_on(address, connection, request.clone().map(Body::full));
             if let Ok(Ok(exchanged)) = tokio::time::timeout(STALE_AFTER, exchange).await {
                 return Ok(exchanged);
             }
@@ -152,15 +204,16 @@
     async fn exchange_on(
         self: &Arc<Self>,
         address: SocketAddr,
-        mut sender: SendRequest<Body>,
+        mut connection: Connection,
         request: Request<Body>,
     ) -> Result<(http::Response<Incoming>, PooledConnection), ExchangeError> {
         if self.partition.is_unreachable(address) {
             // A connection that is open when the network partitions gets no response.
             std::future::pending::<()>().await;
         }
-        let response = sender.send_request(request).await.map_err(ExchangeError::Lost)?;
-        let connection = self.pooled(address, sender, &response);
+        let response = connection.sender.send_request(request).await;
+        let response = response.map_err(ExchangeError::Lost)?;
+        let connection = self.pooled(address, connection, &response);
         Ok((response, connection))
     }
 
@@ -170,8 +223,8 @@
         address: SocketAddr,
         request: Request<Body>,
     ) -> Result<(http::Response<Incoming>, PooledConnection), ExchangeError> {
-        let sender = self.connect(address).await?;
-        self.exchange_on(address, sender, request).await
+        let connection = self.connect(address).await?;
+        self.exchange_on(address, connection, request).await
     }
 
     /// Returns whether an address refuses connections. A connection that it accepts is kept
@@ -179,9 +232,10 @@
     pub(crate) async fn is_refused(self: &Arc<Self>, address: SocketAddr) -> bool {
         let connect = self.connect(address);
         match tokio::time::timeout(REFUSAL_TIMEOUT, connect).await {
-            Ok(Ok(sender)) => {
+            Ok(Ok(connection)) => {
                 let pool = Arc::clone(self);
-                PooledConnection { pool, address, sender, reuse_limit: IDLE_TIMEOUT }.release();
+                let reuse_limit = IDLE_TIMEOUT;
+                PooledConnection { pool, address, connection, reuse_limit }.keep();
                 false
             }
             Ok(Err(error)) => error.is_refused(),
@@ -194,31 +248,36 @@
         &self.partition
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<SendRequest<Body>, ConnectError> {
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, ConnectError> {
         if self.partition.is_unreachable(address) {
             tokio::time::sleep(CONNECT_TIMEOUT).await;
             return Err(ConnectError::Timeout);
         }
-        connect(address).await
+        connect(address).await.map(Connection::new)
     }
 
     /// Closes connections that have been idle for longer than they may be reused.
     pub(crate) fn evict_idle(&self) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|_, stack| {
-            stack.evict(Instant::now(), SendRequest::is_closed);
+            stack.evict(Instant::now(), |connection| connection.sender.is_closed());
             !stack.is_empty()
         });
     }
 
-    /// Takes the most recently used connection that has been idle for less than
-    /// `max_idle_time`.
-    fn take_idle(&self, address: SocketAddr, max_idle_time: Duration) -> Option<SendRequest<Body>> {
+    /// Takes the most recently used connection that may carry a request.
+    fn take_idle(&self, address: SocketAddr, demand: &Demand) -> Option<Connection> {
+        let max_idle_time =
+            if demand.repeatable { IDLE_TIMEOUT } else { MAX_IDLE_TIME_NOT_REPEATABLE };
+        let has_rejected = |connection: &Connection| {
+            demand.id.as_ref().is_some_and(|id| connection.rejected.contains(id))
+        };
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let stack = idle.get_mut(&address)?;
-        while let Some(sender) = stack.take(Instant::now(), max_idle_time) {
-            if !sender.is_closed() {
-                return Some(sender);
+        let is_suitable = |connection: &Connection| !has_rejected(connection);
+        while let Some(connection) = stack.take(Instant::now(), max_idle_time, is_suitable) {
+            if !connection.sender.is_closed() {
+                return Some(connection);
             }
         }
         None
@@ -227,14 +286,14 @@
     fn pooled(
         self: &Arc<Self>,
         address: SocketAddr,
-        sender: SendRequest<Body>,
+        connection: Connection,
         response: &http::Response<Incoming>,
     ) -> PooledConnection {
         let reuse_limit = header::keep_alive(response.headers()).map_or(IDLE_TIMEOUT, |timeout| {
             // The other end counts from when it sent the response, which is earlier.
             timeout.mul_f64(KEEP_ALIVE_FRACTION).min(IDLE_TIMEOUT)
         });
-        PooledConnection { pool: Arc::clone(self), address, sender, reuse_limit }
+        PooledConnection { pool: Arc::clone(self), address, connection, reuse_limit }
     }
 }
 
