--- a/crates/medlarpoint_daemon/src/control.rs
+++ b/crates/medlarpoint_daemon/src/control.rs
@@ -390,6 +390,7 @@
                     }
                     self.shared.lifecycle.notify_change();
                 }
+                MemberEvent::RecordIgnored(vm) => self.shared.emit(&Event::BadRecord { vm }),
                 MemberEvent::Paused(pause) => {
                     self.shared.emit(&Event::Paused { ms: pause.as_millis() });
                 }
--- a/crates/medlarpoint_daemon/src/departed.rs
+++ b/crates/medlarpoint_daemon/src/departed.rs
@@ -15,7 +15,7 @@
 use medlarpoint_membership::instance::Report;
 use medlarpoint_model::Vm;
 use medlarpoint_store::{Consistency, Error, Expected, InvalidKey, Key, Store};
-use medlarpoint_wire::{Departure, Departures, Record};
+use medlarpoint_wire::{Departure, Departures, Record, decode};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, timeout_at};
@@ -86,9 +86,9 @@
         let mut departed = lock(&self.departed);
         for departure in &told.processes {
             let age = Duration::from_millis(departure.age_ms);
-            departed.record(now, &told.vm, decode(departure), age);
+            departed.record(now, &told.vm, process_of(departure), age);
         }
-        let processes = departed.of(now, &told.vm).into_iter().map(encode).collect();
+        let processes = departed.of(now, &told.vm).into_iter().map(departure_of).collect();
         Departures { vm: told.vm.clone(), processes }
     }
 
@@ -105,12 +105,12 @@
     }
 }
 
-fn encode((process, age): (Process, Duration)) -> Departure {
+fn departure_of((process, age): (Process, Duration)) -> Departure {
     let Process { instance, born_ms, last_seq } = process;
     Departure { instance, born_ms, last_seq, age_ms: age.as_millis() as u64 }
 }
 
-fn decode(departure: &Departure) -> Process {
+fn process_of(departure: &Departure) -> Process {
     let Departure { instance, born_ms, last_seq, age_ms: _ } = departure;
     Process { instance: Arc::clone(instance), born_ms: *born_ms, last_seq: *last_seq }
 }
@@ -176,7 +176,7 @@
 ) -> mpsc::UnboundedReceiver<Keeper> {
     let (sender, confirmations) = mpsc::unbounded_channel();
     let vm = shared.settings.options.vm.clone();
-    let told = Departures { vm, processes: vec![encode((process.clone(), Duration::ZERO))] };
+    let told = Departures { vm, processes: vec![departure_of((process.clone(), Duration::ZERO))] };
     for record in peers {
         let (shared, sender, told) = (Arc::clone(shared), sender.clone(), told.clone());
         tokio::spawn(async move {
@@ -286,7 +286,7 @@
     let listing = shared.store.list(&prefix, Consistency::Latest).await;
     record_store_result(shared, listing.as_ref().err());
     for (key, item) in listing?.items {
-        match rmp_serde::from_slice::<Departures>(&item.value) {
+        match decode::<Departures>(&item.value) {
             // The prefix also begins the keys of VMs whose name is longer.
             Ok(told) if told.vm == *vm => {
                 shared.departed.merge(shared.now(), &told);
--- a/crates/medlarpoint_daemon/src/event.rs
+++ b/crates/medlarpoint_daemon/src/event.rs
@@ -164,6 +164,8 @@
 
     /// Control traffic sent in the last ten seconds, by distance of the receiver.
     3004 Info ControlTraffic { near: u64, region: u64, remote: u64, messages: u64, pulls: u64 } => "control traffic in the last 10 s: {near} B within the data centre, {region} B within the region, {remote} B to other regions, {messages} messages, {pulls} pulls";
+    /// A record of a member cannot be right: no later one could replace it. It is ignored.
+    3005 Warn BadRecord { vm: Vm } => "ignored a record of {vm} with an impossible incarnation";
 
     /// The store does not respond. Writes are rejected; reads and calls continue.
     4001 Warn StoreDown { reason: String } => "the store is not available: {reason}";
@@ -178,6 +180,9 @@
     /// The store was restored from a copy, so that its revisions and leases are no longer those that it gave out before. Versions in force stay; watches and leases start again.
     4005 Warn StoreEraChanged { from: Era, to: Era } => "the store was restored from a copy: {from} became {to}";
 
+    /// The store sent rows that cannot be read, and that another writer may have left there. They are skipped; all others are followed.
+    4006 Warn RowsSkipped { rows: u64 } => "{rows} rows of the store cannot be read and are skipped";
+
     /// A target registered with its daemon.
     5001 Info TargetAnnounced { service: Name, slots: u32 } => "target of {service} with {slots} slots";
     /// The target accepts no new calls.
--- a/crates/medlarpoint_daemon/src/registry.rs
+++ b/crates/medlarpoint_daemon/src/registry.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use medlarpoint_membership::{Role, rank};
 use medlarpoint_store::{Consistency, Error, Expected, Key, Lease, Store};
-use medlarpoint_wire::{LatencyBucket, Record};
+use medlarpoint_wire::{LatencyBucket, Record, decode};
 use rand::seq::SliceRandom;
 
 use crate::clock::jitter;
@@ -161,7 +161,7 @@
     let own_vm = &shared.settings.options.vm;
     let mut records = Vec::new();
     for (key, item) in listing?.items {
-        match rmp_serde::from_slice::<Record>(&item.value) {
+        match decode::<Record>(&item.value) {
             Ok(record) if record.vm != *own_vm => records.push(record),
             Ok(_) => {}
             Err(error) => {
--- a/crates/medlarpoint_daemon/src/store_reader.rs
+++ b/crates/medlarpoint_daemon/src/store_reader.rs
@@ -356,6 +356,11 @@
         None | Some(Error::Conflict { .. } | Error::TooLarge { .. }) => None,
         Some(error) => Some(error.to_string()),
     };
+    let rows = shared.store.take_unreadable_rows();
+    if rows > 0 {
+        metrics::counter!("medlarpoint_store_unreadable_rows_total").increment(rows);
+        shared.emit(&Event::RowsSkipped { rows });
+    }
     let mut control = lock(&shared.control);
     record_era(shared, &mut control);
     match (control.store_down.is_some(), down) {
--- a/crates/medlarpoint_daemon/src/target.rs
+++ b/crates/medlarpoint_daemon/src/target.rs
@@ -50,6 +50,8 @@
     Malformed(#[from] ParseError),
     #[error("there is no service {0} in the version in force: apply it first or check the name")]
     Service(medlarpoint_model::Name),
+    #[error("{0} slots: a target has at most {MAX_SLOTS}")]
+    Slots(u32),
     #[error(transparent)]
     NotKept(#[from] NotKept),
 }
@@ -93,6 +95,9 @@
     if !is_configured && shared.in_force.load().snapshot.service(&heartbeat.service).is_none() {
         return Err(ReportError::Service(heartbeat.service.clone()));
     }
+    if heartbeat.slots > MAX_SLOTS {
+        return Err(ReportError::Slots(heartbeat.slots));
+    }
     let report = Report {
         instance: instance.into(),
         born_ms: heartbeat.born_ms,
--- a/crates/medlarpoint_membership/src/detector.rs
+++ b/crates/medlarpoint_membership/src/detector.rs
@@ -36,6 +36,9 @@
 /// Gap between ticks, in periods, from which the local process counts as having
 /// been paused.
 const PAUSE_THRESHOLD_PERIODS: u32 = 3;
+/// Highest incarnation that is accepted. Incarnations start at a wall-clock time in
+/// milliseconds and rise by one with each refutation, so that this one is never reached.
+const MAX_INCARNATION: Incarnation = Incarnation(1 << 48);
 /// Data centres with at most this many live members are also monitored from the
 /// others, since they may have no member left to monitor the rest.
 const SMALL_DATA_CENTRE: usize = 3;
@@ -77,6 +80,8 @@
     VersionAdvanced(DataCentreSummary),
     /// The local process was paused for this long.
     Paused(Duration),
+    /// A record cannot be right and was ignored.
+    RecordIgnored(Vm),
 }
 
 #[derive(Clone, Debug)]
@@ -677,6 +682,10 @@
     }
 
     fn merge_record(&mut self, now: Duration, record: &Record) {
+        if record.incarnation > MAX_INCARNATION {
+            self.events.push(Event::RecordIgnored(record.vm.clone()));
+            return;
+        }
         if record.vm == self.local.vm {
             self.refute(now, record);
             return;
--- a/crates/medlarpoint_membership/src/detector/tests.rs
+++ b/crates/medlarpoint_membership/src/detector/tests.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use medlarpoint_model::Vm;
-use medlarpoint_wire::{Body, BootId, Record, Status};
+use medlarpoint_wire::{Body, BootId, Incarnation, Record, Status};
 
-use super::{Action, Detector};
+use super::{Action, Detector, Event};
 use crate::Options;
 
 const NOW: Duration = Duration::from_secs(100);
@@ -83,3 +83,23 @@
     }
     assert!((3..=6).contains(&sent), "{sent}");
 }
+
+/// Guards against a record that no later one can replace, and whose refutation overflows.
+#[test]
+fn a_record_with_an_impossible_incarnation_is_ignored() {
+    let mut detector = Detector::new(Options::default(), record("a", "one", 1), Duration::ZERO, 1);
+    detector.merge_records(Duration::ZERO, &[record("b", "one", 2)]);
+    detector.take_events();
+    for name in ["a", "b", "c"] {
+        let impossible = Record {
+            incarnation: Incarnation(u64::MAX),
+            status: Status::Dead,
+            ..record(name, "one", 3)
+        };
+        detector.merge_records(Duration::ZERO, &[impossible]);
+        let ignored = Event::RecordIgnored(Vm(name.parse().unwrap()));
+        assert_eq!(detector.take_events(), [ignored]);
+    }
+    assert_eq!(detector.table().live().count(), 2);
+    assert_eq!(detector.local_record().incarnation, Detector::first_incarnation(BootId(1)));
+}
--- a/crates/medlarpoint_routing/src/candidate.rs
+++ b/crates/medlarpoint_routing/src/candidate.rs
@@ -317,7 +317,8 @@
             return;
         };
         let own = self.outstanding.keys().filter(|id| **id != attempt).count();
-        self.other_calls = (f64::from(load.running + load.queued) - own as f64).max(0.0);
+        self.other_calls =
+            (f64::from(load.running.saturating_add(load.queued)) - own as f64).max(0.0);
         self.load = load;
         self.load_at = now;
         if load.slots == 0 {
--- a/crates/medlarpoint_standin/src/store.rs
+++ b/crates/medlarpoint_standin/src/store.rs
@@ -116,9 +116,13 @@
 
     /// Publishes the operator's document.
     pub fn publish(&self, document: impl Into<Bytes>) {
-        let key = medlarpoint_platform::operator::key();
+        self.put(&medlarpoint_platform::operator::key(), document);
+    }
+
+    /// Writes a value, as any other writer may.
+    pub fn put(&self, key: &Key, value: impl Into<Bytes>) {
         // Without a condition or a lease, a write is rejected only for its size.
-        let _ = lock(&self.state.store).put(&key, Expected::Any, document.into(), None);
+        let _ = lock(&self.state.store).put(key, Expected::Any, value.into(), None);
         self.state.notify_watches();
     }
 
@@ -252,7 +256,7 @@
     state.count_bytes_sent(&items);
     wire::json_response(
         StatusCode::OK,
-        &Page { items, has_more, current: listing.current.revision },
+        &Page { items: items.into(), has_more, current: listing.current.revision },
     )
 }
 
@@ -271,10 +275,11 @@
         let Ok(found) = found else {
             return wire::empty_response(StatusCode::GONE);
         };
-        let events: Vec<Row> = found.changes.iter().map(Row::from_change).collect();
-        let events = Events { events, current: found.current.revision };
-        if !events.events.is_empty() {
-            state.count_bytes_sent(&events.events);
+        let rows: Vec<Row> = found.changes.iter().map(Row::from_change).collect();
+        let is_empty = rows.is_empty();
+        state.count_bytes_sent(&rows);
+        let events = Events { events: rows.into(), current: found.current.revision };
+        if !is_empty {
             return wire::json_response(StatusCode::OK, &events);
         }
         let changed = tokio::time::timeout_at(deadline, writes.changed()).await;
@@ -345,7 +350,7 @@
             let row = row.unwrap_or(Row { key: condition.key.clone(), ..Row::default() });
             return wire::json_response(
                 StatusCode::PRECONDITION_FAILED,
-                &Conflict { items: vec![row] },
+                &Conflict { items: vec![row].into() },
             );
         }
     }
--- a/crates/medlarpoint_wire/src/frame.rs
+++ b/crates/medlarpoint_wire/src/frame.rs
@@ -14,6 +14,9 @@
 /// path MTU.
 pub const MAX_DATAGRAM_BYTES: usize = 1_200;
 
+/// Limit on the depth of nested values. The decoder skips unknown fields by recursion.
+const MAX_DEPTH: usize = 64;
+
 /// A datagram between two daemons.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Frame {
@@ -55,9 +58,11 @@
     Ok(rmp_serde::to_vec_named(message)?)
 }
 
-/// Decodes a message from `MessagePack`.
+/// Decodes a message, or a value that a daemon has stored, from `MessagePack`.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, DecodeError> {
-    Ok(rmp_serde::from_slice(bytes)?)
+    let mut decoder = rmp_serde::Deserializer::from_read_ref(bytes);
+    decoder.set_max_depth(MAX_DEPTH);
+    Ok(T::deserialize(&mut decoder)?)
 }
 
 impl Frame {
--- a/crates/medlarpoint_wire/src/frame/tests.rs
+++ b/crates/medlarpoint_wire/src/frame/tests.rs
@@ -117,6 +117,31 @@
     assert!(matches!(Frame::decode(&old, &fleet()), Err(DecodeError::Protocol(0))));
 }
 
+/// Guards against nested values that overflow the stack, since unknown fields are skipped by
+/// recursion, and against lengths that are allocated before they are read.
+#[test]
+fn deeply_nested_or_endless_values_are_rejected() {
+    let mut nested = Vec::new();
+    for (opening, depth) in [(0x91_u8, 100_000), (0x81, 100_000)] {
+        // Arrays, or maps, of one element.
+        nested.push(vec![opening; depth]);
+        nested.push([b"\x81\xa1z".to_vec(), vec![opening; depth]].concat());
+    }
+    for length in [&b"\xdd\xff\xff\xff\xff"[..], b"\xdf\xff\xff\xff\xff", b"\xc6\xff\xff\xff\xff"] {
+        nested.push(length.to_vec());
+        nested.push([b"\x81\xa1z", length].concat());
+    }
+    let decoders = std::thread::Builder::new().stack_size(256 * 1024).spawn(move || {
+        for bytes in &nested {
+            assert!(Frame::decode(bytes, &fleet()).is_err());
+            assert!(decode::<Vec<Record>>(bytes).is_err());
+            assert!(decode::<PullResponse>(bytes).is_err());
+            assert!(decode::<SyncResponse>(bytes).is_err());
+        }
+    });
+    decoders.unwrap().join().unwrap();
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         failure_persistence: None,
