--- a/crates/medlarpoint_daemon/src/startup.rs
+++ b/crates/medlarpoint_daemon/src/startup.rs
@@ -47,8 +47,8 @@
 }
 
 /// Catches up with the fleet, then marks the daemon as ready, and learns which processes of
-/// its target have left. Full jitter between
-/// rounds spreads the load when many daemons restart at the same time.
+/// its target have left. Full jitter between rounds spreads the load when many daemons restart
+/// at the same time.
 pub(crate) async fn catch_up(driver: Arc<Driver>) {
     let shared = Arc::clone(driver.shared());
     let mut wait = MIN_BACKOFF;
--- a/crates/medlarpoint_membership/src/departed.rs
+++ b/crates/medlarpoint_membership/src/departed.rs
@@ -59,7 +59,8 @@
             && self.last_seq.is_none_or(|last| report.seq <= last)
     }
 
-    /// Returns the state that includes both, of which a deregistration is the later one.
+    /// Merges what is known of the same process; a deregistration is final. Returns whether it
+    /// was news.
     fn merge(&mut self, other: &Self) -> bool {
         let merged = self.last_seq.zip(other.last_seq).map(|(own, other)| own.max(other));
         let is_news = merged != self.last_seq;
