--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -179,6 +179,52 @@
                     s.close()
 
 
+class Link:
+    """A TCP link to a server. `silence()` makes the open connections silent for good; new ones work."""
+
+    def __init__(self, ip, target):
+        self.ip, self.target, self.generation = ip, target, 0
+        self.listener = socket.socket()
+        self.listener.bind((ip, 0))
+        self.listener.listen(64)
+        self.port = self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def silence(self):
+        self.generation += 1
+
+    def accept(self):
+        while True:
+            near, _ = self.listener.accept()
+            threading.Thread(target=self.serve, args=(near,), daemon=True).start()
+
+    def serve(self, near):
+        generation = self.generation
+        try:
+            far = socket.create_connection(self.target, timeout=3)
+            for s in (near, far):
+                s.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError:
+            near.close()
+            return
+        try:
+            while True:
+                ready, _, _ = select.select([near, far], [], [], 0.05)
+                if self.generation != generation:
+                    # Neither bytes nor a close pass any more.
+                    time.sleep(3600)
+                for s in ready:
+                    data = s.recv(65536)
+                    if not data:
+                        return
+                    (far if s is near else near).sendall(data)
+        except OSError:
+            pass
+        finally:
+            near.close()
+            far.close()
+
+
 class Machine:
     """A machine with its daemon, as deploy/medlarpointd.toml.template renders its settings."""
 
@@ -244,7 +290,7 @@
 class Server:
     """An application server beside a daemon. `work(server, request)` returns the answer of a request that runs."""
 
-    def __init__(self, rig, machine, work, slots=9):
+    def __init__(self, rig, machine, work, slots=9, linked=False):
         self.rig, self.machine, self.work, self.slots = rig, machine, work, slots
         self.record = rig.record
         self.id = "i-" + uuid.uuid4().hex[:8]
@@ -257,6 +303,7 @@
         self.listener.bind((machine.ip, 0))
         self.listener.listen(128)
         self.port = self.listener.getsockname()[1]
+        self.link = Link(machine.ip, (machine.ip, self.port)) if linked else None
         self.lock = threading.Lock()
         self.runs = []  # (time, attempt id, path, body length)
         self.streams = set()
@@ -266,7 +313,7 @@
     def beat(self):
         with self.lock:
             self.seq += 1
-            return {"Service": self.machine.service, "Address": f"{self.machine.ip}:{self.port}", "Zone": self.machine.zone,
+            return {"Service": self.machine.service, "Address": f"{self.machine.ip}:{(self.link or self).port}", "Zone": self.machine.zone,
                     "Version": "v1", "Slots": self.slots, "State": self.state, "ColdRemainingS": 0, "Seq": self.seq,
                     "born": self.born}
 
