--- a/review/8/play.py
+++ b/review/8/play.py
@@ -18,6 +18,7 @@
     if request["headers"].get("target-instance") != server.id:
         return server.answer(request, status="421 Misdirected Request", headers=[f"Instance-Id: {server.id}"])
     arrivals.append((server.record.now(), server, attempt))
+    server.record.say(f"{server.id} runs {attempt}")
     server.ran(request)
     body = read_body(request)
     time.sleep(0.1)
@@ -107,6 +108,10 @@
     record.say(f"cannot run: {error}")
     print(error, file=sys.stderr)
     code = 2
+except Exception as error:  # a fault of the script is no result
+    record.say(f"cannot run: {error!r}")
+    print(repr(error), file=sys.stderr)
+    code = 2
 finally:
     if rig is not None:
         rig.close()
--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -28,6 +28,10 @@
     """The case cannot be played here."""
 
 
+def stop(*_):
+    raise CannotRun("the case took too long")
+
+
 def free_port(ip="127.0.0.1"):
     with socket.socket() as s:
         s.bind((ip, 0))
@@ -54,6 +58,7 @@
 class Rig:
     def __init__(self, record):
         self.record = record
+        signal.signal(signal.SIGTERM, stop)  # from `timeout` in run.sh: the processes are ended first
         self.dir = tempfile.mkdtemp(prefix="review-")
         self.processes = []
         for program in (DAEMON, STANDIN):
