--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -7,6 +7,7 @@
 import http.client
 import json
 import os
+import random
 import select
 import shutil
 import signal
@@ -32,10 +33,24 @@
     raise CannotRun("the case took too long")
 
 
+USED_PORTS = set()
+
+
 def free_port(ip="127.0.0.1"):
-    with socket.socket() as s:
-        s.bind((ip, 0))
-        return s.getsockname()[1]
+    """Returns a port that is free for TCP and UDP, never twice, and not one that the system gives out by itself."""
+    for _ in range(200):
+        port = random.randrange(10_000, 30_000)
+        if port in USED_PORTS:
+            continue
+        try:
+            with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagrams:
+                stream.bind((ip, port))
+                datagrams.bind((ip, port))
+        except OSError:
+            continue
+        USED_PORTS.add(port)
+        return port
+    raise CannotRun("no port is free")
 
 
 class Record:
@@ -73,6 +88,9 @@
         return process
 
     def close(self):
+        for process in self.processes:
+            if process.poll() not in (None, -signal.SIGKILL, 0):
+                self.record.say(f"process {process.args[0]} ended by itself with {process.returncode}")
         for process in self.processes:
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
